--- a/src/bin/sumacloom-adapter/main.rs
+++ b/src/bin/brookpass-adapter/main.rs
@@ -8,8 +8,8 @@
 use std::io::{self, Read, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
-use sumacloom::Router;
-use sumacloom::interface::*;
+use brookpass::Router;
+use brookpass::interface::*;
 
 #[derive(Default)]
 struct Host {
@@ -108,7 +108,7 @@
     match serve(&mut io::stdin().lock(), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("sumacloom-adapter: {e}");
+            eprintln!("brookpass-adapter: {e}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/sumacloom-adapter/settings.rs
+++ b/src/bin/brookpass-adapter/settings.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::str::FromStr;
-use sumacloom::interface::*;
+use brookpass::interface::*;
 
 struct Text<'a>(BTreeMap<&'a str, &'a str>);
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,8 +6,8 @@
 //! among the replicas known to be fresh enough.
 //!
 //! ```
-//! use sumacloom::interface::*;
-//! use sumacloom::Router;
+//! use brookpass::interface::*;
+//! use brookpass::Router;
 //!
 //! let write = Class {
 //!     aim: Some(500_000),
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The pooler's program.
+
+fn main() {}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A driver's bench in miniature for the tests: one router, a group of members, and what it asked for.
 #![allow(dead_code)]
 
-use sumacloom::Router;
-use sumacloom::interface::*;
+use brookpass::Router;
+use brookpass::interface::*;
 
 pub const MS: Micros = 1_000;
 pub const READ: usize = 0;
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -5,8 +5,8 @@
 use common::*;
 use fastrand::Rng;
 use std::collections::BTreeMap;
-use sumacloom::Router;
-use sumacloom::interface::*;
+use brookpass::Router;
+use brookpass::interface::*;
 
 #[derive(Default)]
 struct Open {
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use sumacloom::interface::*;
+use brookpass::interface::*;
 
 #[test]
 fn a_miss_moves_a_write_along_the_ring_in_sorted_order() {
