--- a/src/bin/brookpass-adapter/frames.rs
+++ b/src/bin/brookpass-adapter/frames.rs
@@ -1,7 +1,7 @@
 //! The binary frames: batches of events in, replies of actions out. Offsets are those of the wire page.
 
-use crate::settings::{self, micros};
 use brookpass::interface::*;
+use brookpass::settings::{self, micros};
 
 /// Size of a batch header.
 pub const HEADER: usize = 16;
--- a/src/bin/brookpass-adapter/main.rs
+++ b/src/bin/brookpass-adapter/main.rs
@@ -1,15 +1,15 @@
 //! The wire adapter: one [`Router`] per instance behind frames on standard input and output.
 
 mod frames;
-mod settings;
 
+use brookpass::Router;
+use brookpass::interface::*;
+use brookpass::settings;
 use frames::{HEADER, Reply, Wire};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
-use brookpass::Router;
-use brookpass::interface::*;
 
 #[derive(Default)]
 struct Host {
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,85 @@
+//! Limits of the program, filled once at start and handed down.
+
+use std::time::Duration;
+
+/// Every size, count and time that bounds what the program does.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Client connections held at once.
+    pub clients: usize,
+    /// Connections to hosts held at once, idle ones included.
+    pub hosts: usize,
+    /// Connections that are only told that there are too many.
+    pub turned_away: usize,
+    /// Requests open at once.
+    pub requests: usize,
+    /// Inputs that wait for the module's owner.
+    pub queue: usize,
+    /// The longest message of a client.
+    pub message: usize,
+    /// The longest answer of a host.
+    pub answer: usize,
+    /// The longest head of an HTTP message.
+    pub head: usize,
+    /// The longest list of discovery.
+    pub list: usize,
+    /// The longest datagram to a peer.
+    pub datagram: usize,
+    /// Time for a connection to a host to be ready.
+    pub connect: Duration,
+    /// An idle connection to a host is closed after this, before the host would.
+    pub host_idle: Duration,
+    /// Time for a client to get past its startup.
+    pub startup: Duration,
+    /// Time for a client to take its answer.
+    pub write: Duration,
+    /// How long discovery may hold a watch.
+    pub watch: Duration,
+    /// How long discovery may take beyond that.
+    pub discovery: Duration,
+    /// First and longest pause after a failed call to discovery.
+    pub pause: (Duration, Duration),
+    /// The answer goes out this long before the client stops waiting.
+    pub margin: Duration,
+    /// After SIGTERM new connections are taken for this long.
+    pub lame: Duration,
+    /// After SIGTERM the program ends at the latest after this.
+    pub drain: Duration,
+    /// An answer to the readiness query waits at most this long for the first list.
+    pub ready: Duration,
+}
+
+/// Descriptors kept for the listener, discovery, peers, the reactor and standard streams.
+const RESERVED: usize = 40;
+
+impl Limits {
+    /// Limits for a process that may hold `sockets` descriptors.
+    pub fn for_sockets(sockets: usize) -> Limits {
+        let free = sockets.saturating_sub(RESERVED).max(8);
+        // An answered request needs one connection on each side; idle ones pile up on the clients'.
+        let (clients, turned_away) = (free * 9 / 16, free / 16);
+        Limits {
+            clients,
+            turned_away,
+            hosts: free - clients - turned_away,
+            requests: 4096,
+            queue: 1024,
+            message: 128 * 1024,
+            answer: 256 * 1024,
+            head: 16 * 1024,
+            list: 4 * 1024 * 1024,
+            datagram: 256,
+            connect: Duration::from_millis(250),
+            host_idle: Duration::from_secs(14),
+            startup: Duration::from_secs(10),
+            write: Duration::from_secs(5),
+            watch: Duration::from_secs(10),
+            discovery: Duration::from_secs(1),
+            pause: (Duration::from_millis(50), Duration::from_secs(1)),
+            margin: Duration::from_millis(4),
+            lame: Duration::from_millis(450),
+            drain: Duration::from_millis(3300),
+            ready: Duration::from_millis(500),
+        }
+    }
+}
--- /dev/null
+++ b/src/core/members.rs
@@ -0,0 +1,192 @@
+//! Who the hosts are: names to the module's ids, ids to addresses.
+//!
+//! A host's name is the same at every pooler while its address is not, so the id is derived from the name:
+//! the module's ring of sorted ids then agrees across poolers and restarts.
+
+use crate::interface::{Availability, Entry, ListKind, MemberId, Micros};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// A line of a list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    /// The host's name.
+    pub name: String,
+    /// Where it listens for this pooler.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: u8,
+    /// Its group.
+    pub group: u32,
+    /// Whether to use it.
+    pub availability: Availability,
+    /// The list takes it for the primary of its group.
+    pub primary: bool,
+    /// Its size against others.
+    pub weight: f64,
+    /// When it last started, in Unix microseconds.
+    pub started_at: Option<Micros>,
+}
+
+/// A list, or what changed in it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listing {
+    /// Its version.
+    pub index: u64,
+    /// Whether it is the whole list.
+    pub whole: bool,
+    /// Its lines.
+    pub entries: Vec<Listed>,
+}
+
+/// What the host side needs to know of a host.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Host {
+    /// Its name.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// New work may go there.
+    pub open: bool,
+    /// When it last started; a change means that old connections are dead.
+    pub started_at: Option<Micros>,
+}
+
+/// The hosts that a list has ever named.
+#[derive(Default)]
+pub struct Members {
+    ids: BTreeMap<String, MemberId>,
+    hosts: BTreeMap<MemberId, Host>,
+    groups: BTreeMap<MemberId, u32>,
+    listed: bool,
+}
+
+fn fold(name: &str, salt: u8) -> MemberId {
+    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
+    let hash = name.bytes().chain((salt > 0).then_some(salt)).fold(0xcbf2_9ce4_8422_2325, step);
+    // The last bytes read stir only the low bits of this hash: mix it before it is cut to six bytes.
+    let b = (hash ^ (hash >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9).to_be_bytes();
+    MemberId { ip: [b[0], b[1], b[2], b[3]], port: u16::from_be_bytes([b[4], b[5]]) }
+}
+
+impl Members {
+    /// The id of a name; a second name that folds to the same id gets another one.
+    pub fn id(&mut self, name: &str) -> MemberId {
+        self.id_from(name, fold)
+    }
+
+    fn id_from(&mut self, name: &str, fold: impl Fn(&str, u8) -> MemberId) -> MemberId {
+        if let Some(id) = self.ids.get(name) {
+            return *id;
+        }
+        let taken: BTreeSet<MemberId> = self.ids.values().copied().collect();
+        let id = (0..=u8::MAX).map(|salt| fold(name, salt)).find(|id| !taken.contains(id));
+        let id = id.unwrap_or_else(|| fold(name, 0));
+        if id != fold(name, 0) {
+            log::warn!("host {name}: its id is taken by another name; the ring may differ between poolers");
+        }
+        self.ids.insert(name.to_string(), id);
+        id
+    }
+
+    /// Takes in a list: what the module is told, and the hosts that changed.
+    pub fn apply(&mut self, list: &Listing, cached: bool) -> (ListKind, Vec<Entry>, Vec<Host>) {
+        let mut changed = Vec::new();
+        let mut entries = Vec::new();
+        for e in &list.entries {
+            let member = self.id(&e.name);
+            let host = Host {
+                name: e.name.clone(),
+                address: e.address,
+                open: e.availability == Availability::Ready,
+                started_at: e.started_at,
+            };
+            self.groups.insert(member, e.group);
+            if self.hosts.get(&member) != Some(&host) {
+                changed.push(host.clone());
+                self.hosts.insert(member, host);
+            }
+            entries.push(Entry {
+                member,
+                zone: e.zone,
+                group: e.group,
+                availability: e.availability,
+                primary: e.primary,
+                units: e.weight,
+                started_at: e.started_at,
+            });
+        }
+        if list.whole {
+            let named: BTreeSet<&str> = list.entries.iter().map(|e| e.name.as_str()).collect();
+            for host in self.hosts.values_mut().filter(|h| h.open && !named.contains(h.name.as_str())) {
+                host.open = false;
+                changed.push(host.clone());
+            }
+        }
+        self.listed |= !entries.is_empty();
+        let kind = match (cached, list.whole) {
+            (true, _) => ListKind::Cached,
+            (false, true) => ListKind::Full,
+            (false, false) => ListKind::Delta,
+        };
+        (kind, entries, changed)
+    }
+
+    /// The host behind an id.
+    pub fn host(&self, id: MemberId) -> Option<&Host> {
+        self.hosts.get(&id)
+    }
+
+    /// Whether a group can be served: false only where a list is known and names no such group.
+    pub fn knows_group(&self, group: u32) -> bool {
+        !self.listed || self.groups.values().any(|g| *g == group)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn line(name: &str, availability: Availability) -> Listed {
+        let address = SocketAddr::from(([127, 0, 0, 1], 5432));
+        Listed {
+            name: name.into(),
+            address,
+            zone: 0,
+            group: 1,
+            availability,
+            primary: false,
+            weight: 1.0,
+            started_at: None,
+        }
+    }
+
+    /// Guards against rings that differ between poolers: the address and the order of arrival must not matter.
+    #[test]
+    fn an_id_follows_from_the_name_alone() {
+        let (mut a, mut b) = (Members::default(), Members::default());
+        let ids = [a.id("s-1"), a.id("s-2")];
+        assert_eq!([b.id("s-2"), b.id("s-1")], [ids[1], ids[0]]);
+        assert_ne!(ids[0], ids[1]);
+    }
+
+    #[test]
+    fn two_names_never_share_an_id() {
+        let mut m = Members::default();
+        let same = |_: &str, salt: u8| MemberId { ip: [1, 2, 3, salt], port: 4 };
+        let ids = [m.id_from("a", same), m.id_from("b", same), m.id_from("a", same)];
+        assert_eq!(ids[0], ids[2]);
+        assert_ne!(ids[0], ids[1]);
+    }
+
+    /// Guards against sends to a host that a whole list no longer names.
+    #[test]
+    fn a_host_that_drops_out_of_a_whole_list_is_closed() {
+        let mut m = Members::default();
+        let both = vec![line("a", Availability::Ready), line("b", Availability::Ready)];
+        m.apply(&Listing { index: 1, whole: true, entries: both }, false);
+        let only = vec![line("a", Availability::Ready)];
+        let (.., changed) = m.apply(&Listing { index: 2, whole: true, entries: only }, false);
+        assert_eq!(changed.iter().map(|h| (h.name.as_str(), h.open)).collect::<Vec<_>>(), [("b", false)]);
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,254 @@
+//! The core: the thread that owns the decision module, and the queue by which fronts reach it.
+//!
+//! Nothing here knows a wire. A front hands in a request with its work `W` as an opaque value and gets one
+//! [`Final`] with an answer `A`; a host side carries out [`Command`]s and reports how each attempt ended.
+
+pub mod members;
+pub mod owner;
+
+use crate::clock::Clock;
+use crate::config::Limits;
+use crate::interface::*;
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::future;
+use members::{Host, Listing};
+use owner::Owner;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// The one final answer to a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Final<A> {
+    /// Served, with what the host gave.
+    Served(A),
+    /// Not done; trying again is harmless.
+    Refused {
+        /// When to come back.
+        retry_in: Option<Micros>,
+        /// The time of the request was over.
+        overdue: bool,
+    },
+    /// Failed; nothing is promised about its effect.
+    Failed {
+        /// The time of the request was over.
+        overdue: bool,
+    },
+    /// No list names the group that was asked for.
+    UnknownGroup,
+}
+
+/// A client's request as a front hands it in; the core numbers it.
+#[derive(Clone, Debug)]
+pub struct Submission<W, A> {
+    /// What the module is asked; its id is the ticket's.
+    pub ask: Ask,
+    /// When the client stops waiting.
+    pub deadline: Micros,
+    /// What is sent to a host, opaque to the core.
+    pub work: W,
+    /// Where the final answer goes.
+    pub reply: Sender<Final<A>>,
+}
+
+/// How an attempt ended, as the host side saw it.
+#[derive(Clone, Debug)]
+pub struct Ended<A> {
+    /// The request.
+    pub id: RequestId,
+    /// The attempt.
+    pub attempt: u8,
+    /// The outcome.
+    pub outcome: Outcome,
+    /// What the host told about itself.
+    pub mark: Option<Mark>,
+    /// Its load report.
+    pub report: Report,
+    /// The answer, where it was served.
+    pub answer: Option<A>,
+}
+
+/// What comes in from fronts and host sides.
+#[derive(Clone, Debug)]
+pub enum Input<W, A> {
+    /// A request.
+    Request(Submission<W, A>),
+    /// The client of a request has gone.
+    Lapsed(RequestId),
+    /// An attempt ended.
+    Ended(Ended<A>),
+    /// A message of a peer.
+    Peer {
+        /// Its number.
+        from: u16,
+        /// The message.
+        bytes: Vec<u8>,
+    },
+}
+
+/// What comes in ahead of everything else.
+#[derive(Clone, Debug)]
+pub enum Control {
+    /// A list, or changes to it.
+    List {
+        /// The list.
+        list: Listing,
+        /// It was remembered from before the start.
+        cached: bool,
+    },
+    /// End the thread.
+    Stop,
+}
+
+/// What a host side is asked to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command<W> {
+    /// Send an attempt.
+    Attempt {
+        /// The request.
+        id: RequestId,
+        /// Its number among the request's attempts.
+        attempt: u8,
+        /// The host's name.
+        host: String,
+        /// The work.
+        work: W,
+        /// When to abandon it.
+        until: Micros,
+    },
+    /// Stop waiting for an attempt.
+    Cancel {
+        /// The request.
+        id: RequestId,
+        /// The attempt.
+        attempt: u8,
+    },
+    /// These hosts are new or changed.
+    Hosts(Vec<Host>),
+    /// Close idle connections to a host.
+    CloseIdle(String),
+    /// A message for peers.
+    Tell {
+        /// Its number; `None`: all.
+        to: Option<u16>,
+        /// The message.
+        bytes: Vec<u8>,
+    },
+    /// The whole list is wanted.
+    FetchList,
+}
+
+/// A front's and a host side's way to the core.
+pub struct Handle<W, A> {
+    inputs: Sender<Input<W, A>>,
+    control: Sender<Control>,
+    next: Arc<AtomicU64>,
+    clock: Clock,
+}
+
+impl<W, A> Clone for Handle<W, A> {
+    fn clone(&self) -> Self {
+        Handle {
+            inputs: self.inputs.clone(),
+            control: self.control.clone(),
+            next: self.next.clone(),
+            clock: self.clock,
+        }
+    }
+}
+
+impl<W, A> Handle<W, A> {
+    /// The program's clock.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// Hands in a request; waits while the queue is full. `None`: the core has ended.
+    pub async fn submit(
+        &self,
+        ask: Ask,
+        deadline: Micros,
+        work: W,
+    ) -> Option<(RequestId, Receiver<Final<A>>)> {
+        let id = self.next.fetch_add(1, Ordering::Relaxed);
+        let (reply, answer) = async_channel::bounded(1);
+        let request = Submission { ask: Ask { id, ..ask }, deadline, work, reply };
+        self.inputs.send(Input::Request(request)).await.ok()?;
+        Some((id, answer))
+    }
+
+    /// Hands in anything else.
+    pub async fn input(&self, input: Input<W, A>) {
+        let _ = self.inputs.send(input).await;
+    }
+
+    /// Hands in what goes ahead of queued requests.
+    pub async fn control(&self, control: Control) {
+        let _ = self.control.send(control).await;
+    }
+}
+
+/// Starts the thread that owns the module.
+pub fn start<W, A>(
+    settings: Settings,
+    seed: u64,
+    limits: &Limits,
+    clock: Clock,
+) -> std::io::Result<(Handle<W, A>, Receiver<Command<W>>)>
+where
+    W: Clone + Send + 'static,
+    A: Send + 'static,
+{
+    let (inputs, queue) = async_channel::bounded(limits.queue);
+    let (control, urgent) = async_channel::bounded(limits.queue);
+    // Never full to block on: each open request has one attempt out at the most.
+    let (commands, out) = async_channel::unbounded();
+    let owner = Owner::new(settings, seed, limits.requests);
+    let thread = std::thread::Builder::new().name("module".into());
+    thread.spawn(move || run(owner, clock, &urgent, &queue, &commands))?;
+    Ok((Handle { inputs, control, next: Arc::new(AtomicU64::new(1)), clock }, out))
+}
+
+enum Woken<W, A> {
+    Control(Control),
+    Input(Input<W, A>),
+    Timer,
+    Over,
+}
+
+fn run<W: Clone, A>(
+    mut owner: Owner<W, A>,
+    clock: Clock,
+    urgent: &Receiver<Control>,
+    queue: &Receiver<Input<W, A>>,
+    commands: &Sender<Command<W>>,
+) {
+    let mut out = Vec::new();
+    loop {
+        owner.due(clock.now(), &mut out);
+        for command in out.drain(..) {
+            if commands.try_send(command).is_err() {
+                return;
+            }
+        }
+        let next = owner.next_due();
+        let control = async { urgent.recv().await.map_or(Woken::Over, Woken::Control) };
+        let input = async { queue.recv().await.map_or(Woken::Over, Woken::Input) };
+        let timer = async {
+            match next {
+                Some(at) => drop(Timer::at(clock.instant(at)).await),
+                None => future::pending().await,
+            }
+            Woken::Timer
+        };
+        // In this order: what discovery told counts before any request that waits.
+        match future::block_on(future::or(control, future::or(input, timer))) {
+            Woken::Control(Control::List { list, cached }) => {
+                owner.list(clock.now(), &list, cached, &mut out)
+            }
+            Woken::Input(input) => owner.input(clock.now(), input, &mut out),
+            Woken::Timer => {}
+            Woken::Control(Control::Stop) | Woken::Over => return,
+        }
+    }
+}
--- /dev/null
+++ b/src/core/owner.rs
@@ -0,0 +1,247 @@
+//! The owner of the module: the request table, attempts that are out, and timers. No I/O.
+//!
+//! What it guards for every front: one final answer for each request, one attempt out at a time, results
+//! that come after the end are told to the module and dropped, and a client that has gone ends its attempt.
+
+use super::members::{Listing, Members};
+use super::{Command, Ended, Final, Input, Submission};
+use crate::Router;
+use crate::interface::*;
+use async_channel::Sender;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// The module answers at the deadline; one that it has not answered so long after is failed without it.
+const OVERDUE: Micros = 10_000;
+
+struct Open<W, A> {
+    work: W,
+    reply: Sender<Final<A>>,
+    deadline: Micros,
+    attempts: u8,
+}
+
+struct Flight {
+    member: MemberId,
+    sent: Micros,
+}
+
+/// The module with all that belongs to its requests.
+pub struct Owner<W, A> {
+    router: Router,
+    members: Members,
+    most: usize,
+    open: BTreeMap<RequestId, Open<W, A>>,
+    out: BTreeMap<(RequestId, u8), Flight>,
+    deadlines: BTreeSet<(Micros, RequestId)>,
+    timers: BTreeSet<(Micros, u64)>,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+}
+
+impl<W: Clone, A> Owner<W, A> {
+    /// An owner of a fresh module that takes `most` requests at once.
+    pub fn new(settings: Settings, seed: u64, most: usize) -> Self {
+        Owner {
+            router: Router::new(settings, seed),
+            members: Members::default(),
+            most,
+            open: BTreeMap::new(),
+            out: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            timers: BTreeSet::new(),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// When something is due next.
+    pub fn next_due(&self) -> Option<Micros> {
+        let timer = self.timers.first().map(|(at, _)| *at);
+        let deadline = self.deadlines.first().map(|(at, _)| *at);
+        timer.into_iter().chain(deadline).min()
+    }
+
+    /// Requests that have no final answer yet.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Fires what is due.
+    pub fn due(&mut self, now: Micros, commands: &mut Vec<Command<W>>) {
+        while let Some(&(at, timer)) = self.timers.first()
+            && at <= now
+        {
+            self.timers.pop_first();
+            self.tell(now, Event::Wake { timer }, commands);
+        }
+        while let Some(&(at, id)) = self.deadlines.first()
+            && at <= now
+        {
+            self.deadlines.pop_first();
+            if self.open.contains_key(&id) {
+                log::warn!("request {id}: no answer at its deadline");
+                self.finish(id, Final::Failed { overdue: true });
+                self.tell(now, Event::Lapsed { id }, commands);
+            }
+        }
+    }
+
+    /// Takes in a list.
+    pub fn list(&mut self, now: Micros, list: &Listing, cached: bool, commands: &mut Vec<Command<W>>) {
+        let (kind, entries, changed) = self.members.apply(list, cached);
+        // Before the module's own commands: an attempt must find its host known, or known to be closed.
+        if !changed.is_empty() {
+            commands.push(Command::Hosts(changed));
+        }
+        self.tell(now, Event::Members { kind, entries }, commands);
+    }
+
+    /// Takes in what a front or a host side has to say.
+    pub fn input(&mut self, now: Micros, input: Input<W, A>, commands: &mut Vec<Command<W>>) {
+        match input {
+            Input::Request(request) => self.take(now, request, commands),
+            Input::Lapsed(id) => {
+                if let Some(open) = self.open.remove(&id) {
+                    self.deadlines.remove(&(open.deadline + OVERDUE, id));
+                    self.tell(now, Event::Lapsed { id }, commands);
+                }
+            }
+            Input::Ended(ended) => self.ended(now, ended, commands),
+            Input::Peer { from, bytes } => self.tell(now, Event::Peer { from, bytes }, commands),
+        }
+    }
+
+    fn take(&mut self, now: Micros, request: Submission<W, A>, commands: &mut Vec<Command<W>>) {
+        let Submission { ask, deadline, work, reply } = request;
+        let early = if !self.members.knows_group(ask.group) {
+            Some(Final::UnknownGroup)
+        } else if self.open.len() >= self.most {
+            Some(Final::Refused { retry_in: None, overdue: false })
+        } else {
+            None
+        };
+        if let Some(answer) = early {
+            let _ = reply.try_send(answer);
+            return;
+        }
+        self.open.insert(ask.id, Open { work, reply, deadline, attempts: 0 });
+        self.deadlines.insert((deadline + OVERDUE, ask.id));
+        let ask = Ask { patience: (deadline - now).max(0), ..ask };
+        self.tell(now, Event::Request(ask), commands);
+    }
+
+    fn ended(&mut self, now: Micros, ended: Ended<A>, commands: &mut Vec<Command<W>>) {
+        let Ended { id, attempt, outcome, mark, report, answer } = ended;
+        let Some(flight) = self.out.remove(&(id, attempt)) else { return };
+        let served = outcome == Outcome::Ok;
+        if let Some(answer) = answer.filter(|_| served) {
+            // One that was given up meanwhile has its answer: this one is dropped.
+            self.finish(id, Final::Served(answer));
+        }
+        let event = Settled {
+            id,
+            attempt,
+            member: flight.member,
+            took: now - flight.sent,
+            outcome,
+            finished: !self.open.contains_key(&id),
+            mark,
+            report,
+        };
+        self.tell(now, Event::Settled(event), commands);
+    }
+
+    fn finish(&mut self, id: RequestId, answer: Final<A>) {
+        if let Some(open) = self.open.remove(&id) {
+            self.deadlines.remove(&(open.deadline + OVERDUE, id));
+            let _ = open.reply.try_send(answer);
+        }
+    }
+
+    fn tell(&mut self, now: Micros, event: Event, commands: &mut Vec<Command<W>>) {
+        self.events.push_back(event);
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.router.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action, commands);
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn act(&mut self, now: Micros, action: Action, commands: &mut Vec<Command<W>>) {
+        match action {
+            Action::Send { id, member, stop_at } => self.send(now, id, member, stop_at, commands),
+            Action::Refuse { id, retry_in } => {
+                let overdue = self.overdue(now, id);
+                self.finish(id, Final::Refused { retry_in, overdue });
+            }
+            Action::Fail { id } => {
+                let overdue = self.overdue(now, id);
+                self.finish(id, Final::Failed { overdue });
+            }
+            Action::Cancel { id, attempt } => {
+                if self.out.contains_key(&(id, attempt)) {
+                    commands.push(Command::Cancel { id, attempt });
+                }
+            }
+            Action::WakeIn { span, timer } => drop(self.timers.insert((now + span.max(0), timer))),
+            Action::Probe { member } => {
+                // No protocol here has a probe; the module asks for one only where the settings allow it.
+                let report = Report::default();
+                self.events.push_back(Event::Probed { member, ok: false, took: 0, report });
+            }
+            // Discovery is watched from the start to the end, whoever asks.
+            Action::Subscribe { on: _ } | Action::FetchList => commands.push(Command::FetchList),
+            Action::CloseIdle { member } => {
+                let host = self.members.host(member).map(|h| h.name.clone());
+                commands.extend(host.map(Command::CloseIdle));
+            }
+            Action::Tell { to, bytes } => commands.push(Command::Tell { to, bytes }),
+            Action::Log { text } => log::info!("module: {text}"),
+        }
+    }
+
+    fn overdue(&self, now: Micros, id: RequestId) -> bool {
+        self.open.get(&id).is_some_and(|open| now >= open.deadline)
+    }
+
+    fn send(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        member: MemberId,
+        stop_at: Option<Micros>,
+        commands: &mut Vec<Command<W>>,
+    ) {
+        let Some(open) = self.open.get_mut(&id) else {
+            log::error!("request {id}: the module sent it after its end");
+            return;
+        };
+        let attempt = open.attempts;
+        open.attempts += 1;
+        let out = self.out.range((id, 0)..=(id, u8::MAX)).next().is_some();
+        let host = self.members.host(member).filter(|_| !out);
+        let Some(host) = host else {
+            // A second copy, or a host that no list has named: never sent.
+            log::error!("request {id}: attempt {attempt} was not allowed out");
+            let event = Settled {
+                id,
+                attempt,
+                member,
+                took: 0,
+                outcome: Outcome::Moot,
+                finished: false,
+                mark: None,
+                report: Report::default(),
+            };
+            self.events.push_back(Event::Settled(event));
+            return;
+        };
+        let until = stop_at.map_or(open.deadline, |at| at.min(open.deadline));
+        let (host, work) = (host.name.clone(), open.work.clone());
+        self.out.insert((id, attempt), Flight { member, sent: now });
+        commands.push(Command::Attempt { id, attempt, host, work, until });
+    }
+}
--- /dev/null
+++ b/src/json.rs
@@ -0,0 +1,197 @@
+//! The one place where JSON is read: miniserde, into the few values that the program uses.
+
+use crate::core::members::{Listed, Listing};
+use crate::interface::{Availability, Settings};
+use crate::settings;
+use miniserde::json::Value;
+use miniserde::{Deserialize, json};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+#[derive(Deserialize)]
+struct RawEndpoint {
+    name: String,
+    address: String,
+    zone: Option<String>,
+    group: u32,
+    status: String,
+    weight: Option<f64>,
+    since_ms: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct RawList {
+    index: u64,
+    snapshot: bool,
+    endpoints: Vec<RawEndpoint>,
+}
+
+#[derive(Deserialize)]
+struct RawLimits {
+    memory_mb: Option<f64>,
+    sockets: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct RawConfig {
+    name: String,
+    listen: String,
+    discovery: String,
+    seed: Option<String>,
+    limits: Option<RawLimits>,
+    peer_listen: Option<String>,
+    peers: Option<Vec<String>>,
+    peers_all: Option<String>,
+    known: Option<RawList>,
+    settings: Value,
+}
+
+/// What the platform tells a pooler.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    /// The pooler's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Descriptors that the process may hold.
+    pub sockets: Option<usize>,
+    /// Memory that the process may use.
+    pub memory_mb: Option<f64>,
+    /// Where peers' datagrams arrive.
+    pub peer_listen: Option<SocketAddr>,
+    /// The poolers of the tier by number.
+    pub peers: Vec<SocketAddr>,
+    /// All poolers of the tier.
+    pub peers_all: Option<SocketAddr>,
+    /// The list as this pooler last had it.
+    pub known: Option<Listing>,
+    /// The settings of the service.
+    pub settings: Settings,
+    /// Names of the classes, by number.
+    pub classes: Vec<String>,
+    /// Names of the zones, by number.
+    pub zones: Vec<String>,
+    /// A connection that stood idle for so many seconds is closed by the host.
+    pub conn_idle: Option<f64>,
+}
+
+fn address(text: &str, what: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{what}: {text:?} is not an address with a port"))
+}
+
+fn listing(raw: RawList, zones: &[String]) -> Result<Listing, String> {
+    let one = |e: RawEndpoint| {
+        let availability = match e.status.as_str() {
+            "active" => Availability::Ready,
+            "leaving" => Availability::Draining,
+            "left" => Availability::Gone,
+            other => return Err(format!("endpoint {}: unknown status {other:?}", e.name)),
+        };
+        let zone = e.zone.and_then(|z| zones.iter().position(|known| *known == z));
+        let since = e.since_ms.filter(|ms| ms.is_finite() && *ms > 0.0);
+        Ok(Listed {
+            address: address(&e.address, &format!("endpoint {}", e.name))?,
+            name: e.name,
+            zone: zone.unwrap_or(0) as u8,
+            group: e.group,
+            availability,
+            primary: false,
+            weight: e.weight.filter(|w| w.is_finite()).unwrap_or(1.0),
+            started_at: since.map(|ms| (ms * 1000.0) as i64),
+        })
+    };
+    let entries = raw.endpoints.into_iter().map(one).collect::<Result<_, String>>()?;
+    Ok(Listing { index: raw.index, whole: raw.snapshot, entries })
+}
+
+/// Reads an answer of discovery. Anything out of form refuses it whole.
+pub fn list(text: &str, zones: &[String]) -> Result<Listing, String> {
+    listing(json::from_str(text).map_err(|_| "the list is not in discovery's form".to_string())?, zones)
+}
+
+/// Flattens nested JSON into `path=value` pairs, as the simulator's wire writes them.
+fn flatten(path: &str, value: &Value, into: &mut BTreeMap<String, String>) {
+    let below = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
+    match value {
+        Value::Null => {}
+        Value::Bool(b) => drop(into.insert(path.to_string(), b.to_string())),
+        Value::Number(n) => drop(into.insert(path.to_string(), n.to_string())),
+        Value::String(s) => drop(into.insert(path.to_string(), s.clone())),
+        Value::Object(o) => o.iter().for_each(|(k, v)| flatten(&below(k), v, into)),
+        Value::Array(a) if a.iter().any(|v| matches!(v, Value::Object(_))) => {
+            into.insert(below("count"), a.len().to_string());
+            a.iter().enumerate().for_each(|(n, v)| flatten(&below(&n.to_string()), v, into));
+        }
+        Value::Array(a) => {
+            let plain = |v: &Value| match v {
+                Value::Bool(b) => b.to_string(),
+                Value::Number(n) => n.to_string(),
+                Value::String(s) => s.clone(),
+                _ => String::new(),
+            };
+            into.insert(path.to_string(), a.iter().map(plain).collect::<Vec<_>>().join(","));
+        }
+    }
+}
+
+/// Line of the first byte that stops `text` from being JSON: the parser itself names no place.
+fn broken_line(text: &str) -> usize {
+    // Every cut before the fault parses as an unfinished text; a scan for balance finds most faults.
+    let (mut quoted, mut escaped, mut open, mut line) = (false, false, Vec::new(), 1);
+    for c in text.chars() {
+        line += usize::from(c == '\n');
+        match c {
+            _ if escaped => escaped = false,
+            '\\' if quoted => escaped = true,
+            '"' => quoted = !quoted,
+            '\n' if quoted => return line - 1,
+            _ if quoted => {}
+            '{' | '[' => open.push(c),
+            '}' | ']' if open.pop() != Some(if c == '}' { '{' } else { '[' }) => return line,
+            _ => {}
+        }
+    }
+    line
+}
+
+/// Reads the platform's configuration; errors name the line or the value.
+pub fn platform(text: &str) -> Result<Platform, String> {
+    if json::from_str::<Value>(text).is_err() {
+        return Err(format!("line {}: not JSON", broken_line(text)));
+    }
+    let raw: RawConfig = json::from_str(text).map_err(|_| {
+        "line 1: a value that the platform always states is missing or of another kind".to_string()
+    })?;
+    let mut flat = BTreeMap::new();
+    flatten("", &raw.settings, &mut flat);
+    let pairs: BTreeMap<&str, &str> = flat.iter().map(|(k, v)| (k.as_str(), v.as_str())).collect();
+    let names = |path: &str| -> Vec<String> {
+        let text = pairs.get(path).copied().unwrap_or("");
+        text.split(',').filter(|s| !s.is_empty()).map(str::to_string).collect()
+    };
+    let zones = names("zones");
+    let classes = (0..).map_while(|n| flat.get(&format!("services.{n}.name")).cloned()).collect();
+    let conn_idle = pairs.get("limits.conn-idle").and_then(|v| v.parse().ok());
+    // Positions on sockets are Unix times on every machine's one clock.
+    let settings = Settings { zero: Some(0), ..settings::read(pairs)? };
+    Ok(Platform {
+        name: raw.name,
+        listen: address(&raw.listen, "listen")?,
+        discovery: address(&raw.discovery, "discovery")?,
+        seed: raw.seed.and_then(|s| u64::from_str_radix(&s, 16).ok()).unwrap_or(0),
+        sockets: raw.limits.as_ref().and_then(|l| l.sockets).map(|n| n as usize),
+        memory_mb: raw.limits.as_ref().and_then(|l| l.memory_mb),
+        peer_listen: raw.peer_listen.map(|a| address(&a, "peer_listen")).transpose()?,
+        peers: raw.peers.unwrap_or_default().iter().map(|a| address(a, "peers")).collect::<Result<_, _>>()?,
+        peers_all: raw.peers_all.map(|a| address(&a, "peers_all")).transpose()?,
+        known: raw.known.map(|k| listing(k, &zones)).transpose()?,
+        settings,
+        classes,
+        zones,
+        conn_idle,
+    })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,7 @@
-//! The decisions of a read and write splitter for database clusters, without any I/O.
+//! brookpass: a pooler that routes requests to replicated score hosts.
+//!
+//! `choice` and `interface` are the decision module, without any I/O; `core` owns one such module and knows
+//! no wire; `net` holds the fronts and the host sides. `docs/architecture.md` tells how they fit.
 //!
 //! A driver feeds [`Router::handle`] with events and carries out the actions it gets back. One
 //! mechanism decides the ordinary path (see `docs/design.md`): each group's believed primary, a ring
@@ -38,6 +41,13 @@
 //! ```
 
 pub mod choice;
+pub mod clock;
+pub mod config;
+pub mod core;
 pub mod interface;
+pub mod json;
+pub mod logger;
+pub mod net;
+pub mod settings;
 
 pub use choice::Router;
--- /dev/null
+++ b/src/net/hosts.rs
@@ -0,0 +1,293 @@
+//! The host side that every protocol shares: connections that are kept and reused, attempts that run, and
+//! the gate that closes when a host drains.
+
+use super::until;
+use crate::clock::Clock;
+use crate::config::Limits;
+use crate::core::members::Host;
+use crate::core::{Command, Ended, Handle, Input};
+use crate::interface::*;
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::future;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// What came of one exchange with a host.
+#[derive(Clone, Debug)]
+pub struct Exchange<A> {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// What the host told about itself.
+    pub mark: Option<Mark>,
+    /// Its load report.
+    pub report: Report,
+    /// The answer, where it was served.
+    pub answer: Option<A>,
+    /// The connection may carry another request.
+    pub reusable: bool,
+}
+
+impl<A> Exchange<A> {
+    /// An outcome about which the host said nothing.
+    pub fn bare(outcome: Outcome) -> Exchange<A> {
+        Exchange { outcome, mark: None, report: Report::default(), answer: None, reusable: false }
+    }
+}
+
+/// A protocol that hosts speak.
+#[allow(async_fn_in_trait)]
+pub trait Wire: 'static {
+    /// What is sent.
+    type Work: Clone + Send + 'static;
+    /// What comes back.
+    type Answer: Send + 'static;
+    /// A connection that is ready for a request.
+    type Connection: 'static;
+
+    /// Makes a new stream ready. An error is the outcome of an attempt that never ran.
+    async fn open(&self, stream: Async<TcpStream>) -> Result<Self::Connection, Outcome>;
+    /// Whether nothing came on a connection since its last answer.
+    fn quiet(&self, connection: &Self::Connection) -> bool;
+    /// One request with `left` until it is abandoned; sets `sent` once its last byte is written.
+    async fn exchange(
+        &self,
+        connection: &mut Self::Connection,
+        work: &Self::Work,
+        left: Micros,
+        sent: &Cell<bool>,
+    ) -> Exchange<Self::Answer>;
+}
+
+/// The outcome of an attempt whose connection broke: never run before its last byte was written.
+pub fn broken(sent: &Cell<bool>) -> Outcome {
+    if sent.get() { Outcome::Reset } else { Outcome::ConnectFailed }
+}
+
+/// Whether a stream has neither bytes to read nor an end.
+pub fn silent(stream: &Async<TcpStream>) -> bool {
+    let peeked = stream.get_ref().peek(&mut [0]);
+    peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+}
+
+struct Known<C> {
+    address: SocketAddr,
+    open: bool,
+    /// Closed when nothing new may be sent.
+    gate: (Sender<()>, Receiver<()>),
+    idle: Vec<(Lease<C>, Instant)>,
+    /// Counts restarts and moves: a connection of an earlier one is not kept.
+    epoch: u64,
+}
+
+/// All hosts with their connections.
+pub struct Hosts<W: Wire> {
+    wire: W,
+    limits: Rc<Limits>,
+    clock: Clock,
+    known: RefCell<BTreeMap<String, Known<W::Connection>>>,
+    connections: Rc<Cell<usize>>,
+    running: RefCell<BTreeMap<(RequestId, u8), Sender<()>>>,
+}
+
+/// A descriptor's share of the budget.
+struct Slot(Rc<Cell<usize>>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// A connection with its slot and where it belongs.
+struct Lease<C> {
+    connection: C,
+    _slot: Slot,
+    epoch: u64,
+}
+
+impl<W: Wire> Hosts<W> {
+    /// No hosts yet.
+    pub fn new(wire: W, limits: Rc<Limits>, clock: Clock) -> Rc<Hosts<W>> {
+        Rc::new(Hosts {
+            wire,
+            limits,
+            clock,
+            known: RefCell::default(),
+            connections: Rc::default(),
+            running: RefCell::default(),
+        })
+    }
+
+    /// Connections held now.
+    pub fn connections(&self) -> usize {
+        self.connections.get()
+    }
+
+    /// Carries out an attempt's or a host's command; others are handed back.
+    pub async fn carry_out(
+        self: &Rc<Self>,
+        command: Command<W::Work>,
+        executor: &Rc<LocalExecutor<'static>>,
+        handle: &Handle<W::Work, W::Answer>,
+    ) -> Option<Command<W::Work>> {
+        match command {
+            Command::Attempt { id, attempt, host, work, until } => {
+                let (cancel, cancelled) = async_channel::bounded(1);
+                self.running.borrow_mut().insert((id, attempt), cancel);
+                let (hosts, handle) = (self.clone(), handle.clone());
+                let task = async move {
+                    let done = hosts.attempt(&host, &work, until, &cancelled).await;
+                    hosts.running.borrow_mut().remove(&(id, attempt));
+                    let Exchange { outcome, mark, report, answer, .. } = done;
+                    log::trace!("request {id}: attempt {attempt} at {host}: {outcome:?}");
+                    handle.input(Input::Ended(Ended { id, attempt, outcome, mark, report, answer })).await;
+                };
+                executor.spawn(task).detach();
+                None
+            }
+            Command::Cancel { id, attempt } => {
+                // Dropping the sender ends the attempt, which closes its connection.
+                self.running.borrow_mut().remove(&(id, attempt));
+                None
+            }
+            Command::Hosts(changed) => {
+                changed.into_iter().for_each(|h| self.host(h));
+                None
+            }
+            Command::CloseIdle(name) => {
+                if let Some(known) = self.known.borrow_mut().get_mut(&name) {
+                    known.idle.clear();
+                }
+                None
+            }
+            other => Some(other),
+        }
+    }
+
+    fn host(&self, host: Host) {
+        let mut all = self.known.borrow_mut();
+        let known = all.entry(host.name).or_insert_with(|| Known {
+            address: host.address,
+            open: host.open,
+            gate: async_channel::bounded(1),
+            idle: Vec::new(),
+            epoch: 0,
+        });
+        // Another process or place: what was opened to the old one leads nowhere.
+        known.epoch += 1;
+        known.address = host.address;
+        known.open = host.open;
+        if !host.open {
+            known.gate.0.close();
+        } else if known.gate.0.is_closed() {
+            known.gate = async_channel::bounded(1);
+        }
+        known.idle.clear();
+    }
+
+    /// Runs one attempt to its outcome.
+    async fn attempt(
+        &self,
+        host: &str,
+        work: &W::Work,
+        stop_at: Micros,
+        cancelled: &Receiver<()>,
+    ) -> Exchange<W::Answer> {
+        let sent = Cell::new(false);
+        let work = self.send(host, work, stop_at, &sent);
+        let cancel = async {
+            while cancelled.recv().await.is_ok() {}
+            Exchange::bare(Outcome::Cancelled)
+        };
+        let time = async {
+            Timer::at(self.clock.instant(stop_at)).await;
+            Exchange::bare(Outcome::TimedOut)
+        };
+        // An outcome that has come counts before a wish to stop waiting for it.
+        future::or(work, future::or(cancel, time)).await
+    }
+
+    async fn send(
+        &self,
+        host: &str,
+        work: &W::Work,
+        stop_at: Micros,
+        sent: &Cell<bool>,
+    ) -> Exchange<W::Answer> {
+        let mut lease = match self.lease(host).await {
+            Ok(lease) => lease,
+            Err(outcome) => return Exchange::bare(outcome),
+        };
+        // The host may have begun to drain while the connection came up: nothing new goes there.
+        if !self.known.borrow().get(host).is_some_and(|k| k.open) {
+            return Exchange::bare(Outcome::ConnectFailed);
+        }
+        let left = (stop_at - self.clock.now()).max(0);
+        let done = self.wire.exchange(&mut lease.connection, work, left, sent).await;
+        if done.reusable {
+            self.give_back(host, lease);
+        }
+        done
+    }
+
+    fn give_back(&self, host: &str, lease: Lease<W::Connection>) {
+        let mut all = self.known.borrow_mut();
+        if let Some(known) = all.get_mut(host).filter(|k| k.open && k.epoch == lease.epoch) {
+            known.idle.push((lease, Instant::now()));
+        }
+    }
+
+    async fn lease(&self, host: &str) -> Result<Lease<W::Connection>, Outcome> {
+        let (address, epoch, gate) = {
+            let mut all = self.known.borrow_mut();
+            let known = all.get_mut(host).filter(|k| k.open).ok_or(Outcome::ConnectFailed)?;
+            while let Some((lease, since)) = known.idle.pop() {
+                // The host closes idle connections: a request on one that it has closed may have run.
+                if since.elapsed() < self.limits.host_idle && self.wire.quiet(&lease.connection) {
+                    return Ok(lease);
+                }
+            }
+            (known.address, known.epoch, known.gate.1.clone())
+        };
+        let slot = self.slot().ok_or(Outcome::Full)?;
+        let connect = async {
+            let stream = Async::<TcpStream>::connect(address).await.map_err(|_| Outcome::ConnectFailed)?;
+            stream.get_ref().set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
+            self.wire.open(stream).await
+        };
+        let closed = async {
+            while gate.recv().await.is_ok() {}
+            Err(Outcome::ConnectFailed)
+        };
+        let connection = until(Instant::now() + self.limits.connect, future::or(connect, closed)).await;
+        let connection = connection.unwrap_or(Err(Outcome::ConnectFailed))?;
+        Ok(Lease { connection, _slot: slot, epoch })
+    }
+
+    /// A share of the budget; the longest idle connection makes room.
+    fn slot(&self) -> Option<Slot> {
+        if self.connections.get() >= self.limits.hosts {
+            let mut all = self.known.borrow_mut();
+            let longest = all.values_mut().filter(|k| !k.idle.is_empty()).min_by_key(|k| k.idle[0].1)?;
+            drop(longest.idle.remove(0));
+        }
+        self.connections.set(self.connections.get() + 1);
+        Some(Slot(self.connections.clone()))
+    }
+
+    /// Closes connections that have stood idle too long, for ever.
+    pub async fn tidy(&self) {
+        loop {
+            Timer::after(Duration::from_millis(500)).await;
+            for known in self.known.borrow_mut().values_mut() {
+                known.idle.retain(|(_, since)| since.elapsed() < self.limits.host_idle);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/http/mod.rs
@@ -0,0 +1,3 @@
+//! HTTP/1.1 as far as discovery, the SPARQL front and the store need it: parsers of our own.
+
+pub mod codec;
--- /dev/null
+++ b/src/net/listen.rs
@@ -0,0 +1,153 @@
+//! A front's listener: connections within the limits, and what happens to them at the end.
+
+use crate::config::Limits;
+use async_io::{Async, Timer};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How a new connection is received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Welcome {
+    /// It is served.
+    Served,
+    /// It is only told that there are too many.
+    TurnedAway,
+}
+
+struct Seat {
+    /// Since when it stands between requests.
+    idle: Cell<Option<Instant>>,
+    /// Closed: the connection is to end between two requests.
+    end: async_channel::Sender<()>,
+}
+
+/// The connections of one front.
+pub struct Seats {
+    limits: Rc<Limits>,
+    next: Cell<u64>,
+    taken: RefCell<BTreeMap<u64, Rc<Seat>>>,
+    turned_away: Cell<usize>,
+    closing: Cell<bool>,
+}
+
+/// A connection's place among them; given up when dropped.
+pub struct Place {
+    seats: Rc<Seats>,
+    number: u64,
+    seat: Option<Rc<Seat>>,
+    end: async_channel::Receiver<()>,
+}
+
+impl Seats {
+    /// No connections yet.
+    pub fn new(limits: Rc<Limits>) -> Rc<Seats> {
+        Rc::new(Seats {
+            limits,
+            next: Cell::new(0),
+            taken: RefCell::default(),
+            turned_away: Cell::new(0),
+            closing: Cell::new(false),
+        })
+    }
+
+    /// Connections that are served now.
+    pub fn taken(&self) -> usize {
+        self.taken.borrow().len()
+    }
+
+    /// Asks every connection to end as soon as it stands between requests.
+    pub fn close(&self) {
+        self.closing.set(true);
+        for seat in self.taken.borrow().values() {
+            seat.end.close();
+        }
+    }
+
+    /// Clients keep connections that they do not use: the longest idle one ends for a new one. Until it has,
+    /// both hold descriptors, out of the share of those that are turned away.
+    fn make_room(&self) -> bool {
+        let taken = self.taken.borrow();
+        let idle = taken.values().filter(|s| !s.end.is_closed()).filter_map(|s| Some((s.idle.get()?, s)));
+        let longest = idle
+            .min_by_key(|(since, _)| *since)
+            .filter(|_| taken.len() + self.turned_away.get() < self.limits.clients + self.limits.turned_away);
+        longest.is_some_and(|(_, seat)| seat.end.close())
+    }
+
+    fn seat(self: &Rc<Seats>) -> Option<(Place, Welcome)> {
+        let (sender, end) = async_channel::bounded(1);
+        if self.taken() >= self.limits.clients && !self.make_room() {
+            if self.turned_away.get() >= self.limits.turned_away {
+                return None;
+            }
+            self.turned_away.set(self.turned_away.get() + 1);
+            return Some((Place { seats: self.clone(), number: 0, seat: None, end }, Welcome::TurnedAway));
+        }
+        let seat = Rc::new(Seat { idle: Cell::new(None), end: sender });
+        let number = self.next.get();
+        self.next.set(number + 1);
+        self.taken.borrow_mut().insert(number, seat.clone());
+        Some((Place { seats: self.clone(), number, seat: Some(seat), end }, Welcome::Served))
+    }
+}
+
+impl Place {
+    /// Notes whether the connection stands between requests.
+    pub fn idle(&self, idle: bool) {
+        if let Some(seat) = &self.seat {
+            seat.idle.set(idle.then(Instant::now));
+        }
+    }
+
+    /// Whether it is to end between requests.
+    pub fn ends(&self) -> bool {
+        self.end.is_closed()
+    }
+
+    /// Comes back when it is to end between requests.
+    pub async fn ended(&self) {
+        while self.end.recv().await.is_ok() {}
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        match &self.seat {
+            Some(_) => drop(self.seats.taken.borrow_mut().remove(&self.number)),
+            None => self.seats.turned_away.set(self.seats.turned_away.get().saturating_sub(1)),
+        }
+    }
+}
+
+/// Opens a listener.
+pub fn open(address: SocketAddr) -> io::Result<Async<TcpListener>> {
+    Async::<TcpListener>::bind(address)
+}
+
+/// Takes connections for ever, each within its place.
+pub async fn accept(
+    listener: &Async<TcpListener>,
+    seats: &Rc<Seats>,
+    mut serve: impl FnMut(Async<TcpStream>, Place, Welcome),
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let _ = stream.get_ref().set_nodelay(true);
+                match seats.seat() {
+                    Some((place, welcome)) => serve(stream, place, welcome),
+                    None => log::warn!("too many connections, and too many that are told so"),
+                }
+            }
+            Err(e) => {
+                // Out of descriptors or a connection that ended before it was taken: not the end of the front.
+                log::warn!("accept: {e}");
+                Timer::after(Duration::from_millis(5)).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/pg/statement.rs
@@ -0,0 +1,122 @@
+//! The comment in front of a statement: what a client says about its request.
+
+use crate::interface::Micros;
+use std::ops::Range;
+
+/// A statement as it came, with what its comment says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Statement {
+    text: String,
+    /// Where the digits of `d` stand.
+    wait: Range<usize>,
+    /// Name of the class.
+    pub class: String,
+    /// How long the client waits.
+    pub patience: Micros,
+    /// The group.
+    pub group: u32,
+    /// The position that a read has to see, as Unix time.
+    pub after: Option<Micros>,
+    /// The client marks it as its own repeat.
+    pub repeated: bool,
+    /// The quoted key, which names the session in classes that have sessions.
+    pub key: String,
+}
+
+/// The longest wait that is taken at its word: a day.
+const LONGEST_MS: i64 = 86_400_000;
+
+fn number<T: std::str::FromStr>(text: &str) -> Option<T> {
+    text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
+}
+
+/// Reads a statement; the error says what is wrong with it.
+pub fn parse(text: &str) -> Result<Statement, String> {
+    let start = text.find("/*").filter(|at| text[..*at].trim().is_empty());
+    let start = start.ok_or("the statement has no comment in front")? + 2;
+    let length = text[start..].find("*/").ok_or("the comment does not end")?;
+    let (comment, body) = (&text[start..start + length], &text[start + length + 2..]);
+    let (mut id, mut class, mut group, mut after, mut repeated, mut wait) =
+        (None, None, None, None, false, None);
+    let mut at = start;
+    for part in comment.split(',') {
+        let pair = part.trim();
+        let (name, value) =
+            pair.split_once('=').ok_or_else(|| format!("{pair:?} in the comment has no value"))?;
+        let wrong = || format!("{name}={value:?} in the comment is no such value");
+        match name {
+            "id" => id = Some(value).filter(|v| !v.is_empty()),
+            "c" => class = Some(value.to_string()),
+            "d" => {
+                let ms: i64 = number(value).filter(|ms| *ms <= LONGEST_MS).ok_or_else(wrong)?;
+                let from = at + part.find(pair).unwrap_or(0) + 2;
+                wait = Some((ms, from..from + value.len()));
+            }
+            "cluster" => group = Some(number(value).ok_or_else(wrong)?),
+            "after" => {
+                after = Some(number::<i64>(value).and_then(|v| v.checked_mul(1000)).ok_or_else(wrong)?)
+            }
+            "r" => repeated = value == "1",
+            // Whatever else a client says goes to the host as it stands.
+            _ => {}
+        }
+        at += part.len() + 1;
+    }
+    id.ok_or("the comment has no id")?;
+    let (ms, wait) = wait.ok_or("the comment does not say how long the client waits")?;
+    let key = body.split('\'').nth(1).unwrap_or("").to_string();
+    if body.trim().is_empty() {
+        return Err("there is no statement after the comment".into());
+    }
+    Ok(Statement {
+        text: text.to_string(),
+        wait,
+        class: class.ok_or("the comment names no class")?,
+        patience: ms * 1000,
+        group: group.ok_or("the comment names no group")?,
+        after,
+        repeated,
+        key,
+    })
+}
+
+impl Statement {
+    /// The statement as a host gets it: unchanged, but for how long is waited.
+    pub fn with_wait(&self, left: Micros) -> String {
+        let ms = (left / 1000).max(1);
+        format!("{}{ms}{}", &self.text[..self.wait.start], &self.text[self.wait.end..])
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const READ: &str = "/* id=9b1f03aa5c7e2d41,c=basket,d=480,cluster=2,after=1767225600123 */ \
+                        SELECT payload FROM entries WHERE ref = '7f3a'";
+
+    #[test]
+    fn only_the_wait_changes_on_the_way() {
+        let s = parse(READ).unwrap();
+        assert_eq!((s.class.as_str(), s.patience, s.group), ("basket", 480_000, 2));
+        assert_eq!((s.after, s.key.as_str()), (Some(1_767_225_600_123_000), "7f3a"));
+        assert_eq!(s.with_wait(93_700), READ.replace("d=480", "d=93"));
+    }
+
+    #[test]
+    fn what_is_out_of_form_is_refused_with_its_reason() {
+        for (text, why) in [
+            ("SELECT 1", "no comment"),
+            ("/* id=1,c=a,d=1,cluster=1", "does not end"),
+            ("/* id=1,c=a,d=-1,cluster=1 */ SELECT 1", "d=\"-1\""),
+            ("/* id=1,c=a,d=5,cluster=x */ SELECT 1", "cluster"),
+            ("/* id=1,c=a,cluster=1 */ SELECT 1", "how long"),
+            ("/* c=a,d=5,cluster=1 */ SELECT 1", "no id"),
+            ("/* id=1,c=a,d=5,cluster=1 */ ", "no statement"),
+            ("/* id=1,c=a,d=5,cluster=1,after=99999999999999999999 */ SELECT 1", "after"),
+        ] {
+            let error = parse(text).unwrap_err();
+            assert!(error.contains(why), "{text}: {error}");
+        }
+    }
+}
--- a/src/bin/brookpass-adapter/settings.rs
+++ b/src/settings.rs
@@ -1,8 +1,10 @@
-//! The settings text: path=value lines into [`Settings`]. Unknown paths are skipped.
+//! The operator's settings as `path=value` pairs into [`Settings`]. Unknown paths are skipped.
+//!
+//! The adapter gets the pairs as text, the daemon flattens its JSON configuration into them.
 
+use crate::interface::*;
 use std::collections::BTreeMap;
 use std::str::FromStr;
-use brookpass::interface::*;
 
 struct Text<'a>(BTreeMap<&'a str, &'a str>);
 
@@ -57,7 +59,12 @@
             line.split_once('=').ok_or_else(|| format!("settings: line {} has no '='", n + 1))?;
         lines.insert(path.trim(), value.trim());
     }
-    let t = Text(lines);
+    read(lines)
+}
+
+/// Reads settings from pairs of path and value.
+pub fn read(pairs: BTreeMap<&str, &str>) -> Result<Settings, String> {
+    let t = Text(pairs);
     let consistency = t.list("family-info.consistency");
     let max_age = t.list("family-info.max-age");
     let mut classes = Vec::new();
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -2,11 +2,11 @@
 //! no score: outcomes, delays, roles and positions are drawn, and only what the rules forbid is checked.
 
 mod common;
+use brookpass::Router;
+use brookpass::interface::*;
 use common::*;
 use fastrand::Rng;
 use std::collections::BTreeMap;
-use brookpass::Router;
-use brookpass::interface::*;
 
 #[derive(Default)]
 struct Open {
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -1,8 +1,8 @@
 //! One behaviour a test, named for what would be seen if it broke.
 
 mod common;
-use common::*;
 use brookpass::interface::*;
+use common::*;
 
 #[test]
 fn a_miss_moves_a_write_along_the_ring_in_sorted_order() {
