--- /dev/null
+++ b/src/inventory/mod.rs
@@ -0,0 +1,256 @@
+//! The hosts as the operator writes them down: CSV with a header row, or YAML in Ansible's inventory form.
+
+pub mod yaml;
+
+use crate::core::members::Listed;
+use crate::interface::{Availability, Micros};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use yaml::{Fault, Node};
+
+/// Every fact about a host that a file may state; others are the configuration tool's own.
+const FACTS: [&str; 7] = ["address", "group", "zone", "weight", "status", "port", "since_ms"];
+
+/// A value with the line it stands in.
+type Facts = BTreeMap<String, (String, usize)>;
+
+/// Reads a file's text by the ending of its name.
+pub fn parse(path: &Path, text: &str, zones: &[String]) -> Result<Vec<Listed>, Fault> {
+    let ending = path.extension().and_then(|e| e.to_str()).unwrap_or("").to_ascii_lowercase();
+    let hosts = match ending.as_str() {
+        "csv" => csv_hosts(text)?,
+        "yaml" | "yml" => yaml_hosts(text)?,
+        _ => return Err(Fault::new(1, "an inventory is a .csv, .yaml or .yml file")),
+    };
+    if hosts.is_empty() {
+        return Err(Fault::new(1, "the inventory names no host"));
+    }
+    hosts.into_iter().map(|(name, line, facts)| listed(name, line, &facts, zones)).collect()
+}
+
+/// The line of a record that the reader found from `byte` on: it passes over blank lines and comments.
+fn line_of(text: &str, byte: u64) -> usize {
+    let mut at = (byte as usize).min(text.len());
+    while let Some(rest) = text.get(at..).filter(|r| !r.is_empty()) {
+        let line = rest.split('\n').next().unwrap_or("");
+        if !line.trim().is_empty() && !line.starts_with('#') {
+            break;
+        }
+        at = (at + line.len() + 1).min(text.len());
+    }
+    1 + text.as_bytes()[..at].iter().filter(|b| **b == b'\n').count()
+}
+
+fn csv_hosts(text: &str) -> Result<Vec<(String, usize, Facts)>, Fault> {
+    let mut reader =
+        csv::ReaderBuilder::new().trim(csv::Trim::All).comment(Some(b'#')).from_reader(text.as_bytes());
+    let fault = |e: csv::Error| {
+        let line = e.position().map_or(1, |p| line_of(text, p.byte()));
+        Fault::new(
+            line,
+            match e.kind() {
+                csv::ErrorKind::UnequalLengths { expected_len, len, .. } => {
+                    format!("{len} values under {expected_len} columns")
+                }
+                csv::ErrorKind::Utf8 { .. } => "not UTF-8".to_string(),
+                _ => "not CSV".to_string(),
+            },
+        )
+    };
+    let header = reader.headers().map_err(fault)?.clone();
+    for (n, column) in header.iter().enumerate() {
+        if header.iter().take(n).any(|c| c == column) {
+            return Err(Fault::new(1, format!("column {column:?} stands twice")));
+        }
+    }
+    for wanted in ["name", "address", "group"] {
+        if !header.iter().any(|c| c == wanted) {
+            return Err(Fault::new(1, format!("the header row has no column {wanted:?}")));
+        }
+    }
+    let mut hosts: Vec<(String, usize, Facts)> = Vec::new();
+    for row in reader.records() {
+        let row = row.map_err(fault)?;
+        let line = row.position().map_or(1, |p| line_of(text, p.byte()));
+        let pairs = header.iter().zip(row.iter()).filter(|(_, v)| !v.is_empty());
+        let mut facts: Facts = pairs.map(|(k, v)| (k.to_string(), (v.to_string(), line))).collect();
+        let (name, _) = facts.remove("name").ok_or_else(|| Fault::new(line, "a host without a name"))?;
+        if hosts.iter().any(|(n, ..)| *n == name) {
+            return Err(Fault::new(line, format!("host {name:?} stands twice")));
+        }
+        hosts.push((name, line, facts));
+    }
+    Ok(hosts)
+}
+
+fn yaml_hosts(text: &str) -> Result<Vec<(String, usize, Facts)>, Fault> {
+    let tree = yaml::parse(text)?;
+    let mut hosts: Vec<(String, usize, Facts)> = Vec::new();
+    for (name, group) in tree.map("the inventory")? {
+        walk(name, group, &Facts::new(), &mut hosts)?;
+    }
+    Ok(hosts)
+}
+
+/// The facts that a group's or a host's variables state: Ansible's own names, or ours after `brookpass_`.
+fn facts(node: &Node, what: &str, into: &mut Facts) -> Result<(), Fault> {
+    for (key, value) in node.map(what)? {
+        let name = match key.as_str() {
+            "ansible_host" => "address",
+            "ansible_port" => "port",
+            _ => match key.strip_prefix("brookpass_") {
+                Some(ours) if FACTS.contains(&ours) => ours,
+                Some(_) => return Err(value.fault(format!("unknown variable {key:?}"))),
+                None => continue,
+            },
+        };
+        into.insert(name.to_string(), (value.value(key)?.to_string(), value.line));
+    }
+    Ok(())
+}
+
+/// A group: its variables hold for its hosts and children, nearer ones first.
+fn walk(
+    name: &str,
+    group: &Node,
+    above: &Facts,
+    hosts: &mut Vec<(String, usize, Facts)>,
+) -> Result<(), Fault> {
+    let mut inherited = above.clone();
+    for (key, part) in group.map(&format!("group {name:?}"))? {
+        match key.as_str() {
+            "vars" => facts(part, "vars", &mut inherited)?,
+            "hosts" | "children" => {}
+            _ => return Err(part.fault(format!("group {name:?} has hosts, children and vars, not {key:?}"))),
+        }
+    }
+    if let Some(list) = group.get("hosts") {
+        for (host, vars) in list.map("hosts")? {
+            if host.contains('[') {
+                return Err(vars.fault(format!("host {host:?}: ranges are not read; name each host")));
+            }
+            let mut own = inherited.clone();
+            facts(vars, "a host's variables", &mut own)?;
+            match hosts.iter_mut().find(|(n, ..)| n == host) {
+                None => hosts.push((host.clone(), vars.line, own)),
+                // A host may stand in several groups, where they agree.
+                Some((.., known)) => {
+                    for (k, (v, line)) in own {
+                        let (first, _) = known.entry(k.clone()).or_insert((v.clone(), line));
+                        if *first != v {
+                            return Err(Fault::new(
+                                line,
+                                format!("host {host:?}: {k} is {first:?} and {v:?}"),
+                            ));
+                        }
+                    }
+                }
+            }
+        }
+    }
+    if let Some(children) = group.get("children") {
+        for (child, part) in children.map("children")? {
+            walk(child, part, &inherited, hosts)?;
+        }
+    }
+    Ok(())
+}
+
+fn listed(name: String, line: usize, facts: &Facts, zones: &[String]) -> Result<Listed, Fault> {
+    let fact = |key: &str| facts.get(key).map(|(v, l)| (v.as_str(), *l));
+    let wrong =
+        |key: &str, v: &str, l: usize| Fault::new(l, format!("host {name:?}: {key} {v:?} is no such value"));
+    // A separator of the store's records, or a line end, in a name would forge another record.
+    if name.is_empty() || !name.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b)) {
+        return Err(Fault::new(
+            line,
+            format!("host {name:?}: a name has letters, digits, '-', '_' and '.' only"),
+        ));
+    }
+    let (text, at) = fact("address").unwrap_or((name.as_str(), line));
+    let address = match fact("port") {
+        Some((port, _)) if !text.contains(':') => format!("{text}:{port}").parse(),
+        _ => text.parse(),
+    };
+    let address: SocketAddr =
+        address.map_err(|_| Fault::new(at, format!("host {name:?}: {text:?} is no address with a port")))?;
+    if !address.ip().is_loopback() {
+        return Err(Fault::new(at, format!("host {name:?}: {address} is not on this machine's loopback")));
+    }
+    let (group, at) = fact("group").ok_or_else(|| Fault::new(line, format!("host {name:?} has no group")))?;
+    let group = group.parse().map_err(|_| wrong("group", group, at))?;
+    let availability = match fact("status") {
+        None | Some(("active", _)) => Availability::Ready,
+        Some(("leaving", _)) => Availability::Draining,
+        Some((v, l)) => return Err(wrong("status", v, l)),
+    };
+    let zone = match fact("zone") {
+        None => 0,
+        Some((v, l)) => zones.iter().position(|z| z == v).ok_or_else(|| wrong("zone", v, l))? as u8,
+    };
+    let weight = match fact("weight") {
+        None => 1.0,
+        Some((v, l)) => {
+            v.parse().ok().filter(|w| *w > 0.0 && *w <= 100.0).ok_or_else(|| wrong("weight", v, l))?
+        }
+    };
+    let started_at: Option<Micros> = match fact("since_ms") {
+        None | Some(("0", _)) => None,
+        Some((v, l)) => {
+            let ms = v.parse::<Micros>().ok().filter(|ms| *ms > 0).and_then(|ms| ms.checked_mul(1000));
+            Some(ms.ok_or_else(|| wrong("since_ms", v, l))?)
+        }
+    };
+    // Who is primary is learned from answers alone: an inventory is no proof of it.
+    Ok(Listed { name, address, zone, group, availability, primary: false, weight, started_at })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(name: &str, text: &str) -> Result<Vec<Listed>, Fault> {
+        parse(Path::new(name), text, &["a".to_string(), "b".to_string()])
+    }
+
+    const CSV: &str = "name,address,group,zone,weight,status\n\
+                       s-1,127.0.0.1:7001,1,a,1,active\n\
+                       # spare\n\
+                       s-2,127.0.0.1:7002,2,b,0.5,leaving\n";
+
+    const YAML: &str = "all:\n  vars: {ansible_user: ops, ansible_host: 127.0.0.1}\n  children:\n    set_1:\n      \
+                        vars: {brookpass_group: 1}\n      hosts:\n        s-1: {ansible_port: 7001}\n    set_2:\n      \
+                        vars: {brookpass_group: 2, brookpass_zone: b, brookpass_weight: 0.5}\n      hosts:\n        \
+                        s-2:\n          ansible_port: 7002\n          brookpass_status: leaving\n";
+
+    #[test]
+    fn both_forms_say_the_same() {
+        let (csv, yaml) = (read("i.csv", CSV).unwrap(), read("i.yml", YAML).unwrap());
+        assert_eq!(csv, yaml);
+        assert_eq!((csv[1].group, csv[1].zone, csv[1].weight), (2, 1, 0.5));
+        assert_eq!(csv[1].availability, Availability::Draining);
+    }
+
+    #[test]
+    fn a_fault_refuses_the_whole_file_and_names_its_line() {
+        for (name, from, to, line, why) in [
+            ("i.csv", "name,address", "host,address", 1, "no column \"name\""),
+            ("i.csv", "s-2,127", "s-1,127", 4, "stands twice"),
+            ("i.csv", "0.5,leaving", "0.5", 4, "5 values under 6 columns"),
+            ("i.csv", ",2,b", ",two,b", 4, "group \"two\""),
+            ("i.csv", "7002", "port", 4, "no address"),
+            ("i.csv", "127.0.0.1:7002", "10.0.0.1:7002", 4, "loopback"),
+            ("i.yml", "brookpass_group: 2, ", "", 12, "has no group"),
+            ("i.yml", "brookpass_weight", "brookpass_wait", 9, "unknown variable"),
+            ("i.yml", "brookpass_status: leaving", "brookpass_status: gone", 13, "status \"gone\""),
+            ("i.yml", "all:\n", "all: [\n", 3, ""),
+            ("i.txt", "all", "all", 1, "is a .csv"),
+        ] {
+            let text = if name == "i.csv" { CSV } else { YAML }.replacen(from, to, 1);
+            let fault = read(name, &text).unwrap_err();
+            assert!(fault.text.contains(why), "{name} {to:?}: {fault}");
+            assert_eq!(fault.line, line, "{name} {to:?}: {fault}");
+        }
+    }
+}
