--- a/src/config.rs
+++ b/src/config.rs
@@ -41,6 +41,18 @@
     pub pause: (Duration, Duration),
     /// The answer goes out this long before the client stops waiting.
     pub margin: Duration,
+    /// A connection that is closed is read for so long, or its last answer may be lost with a reset.
+    pub linger: Duration,
+    /// A host that sends nothing for so long in the midst of an answer has broken off.
+    pub stall: Duration,
+    /// How long a client waits that does not say so.
+    pub patience: Duration,
+    /// Parts of a long answer that wait for the client.
+    pub parts: usize,
+    /// The longest file that is read.
+    pub file: u64,
+    /// Time between two looks at files, and between two exchanges with a peer of the store.
+    pub period: Duration,
     /// After SIGTERM new connections are taken for this long.
     pub lame: Duration,
     /// After SIGTERM the program ends at the latest after this.
@@ -77,9 +89,22 @@
             discovery: Duration::from_secs(1),
             pause: (Duration::from_millis(50), Duration::from_secs(1)),
             margin: Duration::from_millis(4),
+            linger: Duration::from_millis(500),
+            stall: Duration::from_secs(10),
+            patience: Duration::from_secs(30),
+            parts: 4,
+            file: 4 * 1024 * 1024,
+            period: Duration::from_millis(500),
             lame: Duration::from_millis(450),
             drain: Duration::from_millis(3300),
             ready: Duration::from_millis(500),
         }
     }
+    /// Hosts close connections that stood idle for so many seconds; ours go well before: a request that
+    /// crosses such a close may have run.
+    pub fn hosts_idle_for(&mut self, seconds: Option<f64>) {
+        if let Some(s) = seconds.filter(|s| *s > 0.0 && *s < 86_400.0) {
+            self.host_idle = Duration::from_secs_f64((s - 1.0).max(s / 2.0));
+        }
+    }
 }
--- /dev/null
+++ b/src/core/classes.rs
@@ -0,0 +1,73 @@
+//! Classes by name, as both fronts look them up.
+
+use crate::interface::{Consistency, Micros, Repeat, Settings};
+
+/// The classes of a service.
+#[derive(Clone, Debug)]
+pub struct Classes {
+    names: Vec<String>,
+    /// For a keyed class, the number of its twin for requests that carry no key.
+    keyless: Vec<Option<usize>>,
+    writes: Vec<bool>,
+    deadlines: Vec<Option<Micros>>,
+}
+
+impl Classes {
+    /// Names the classes of `settings`, and adds a twin to each keyed class. A repeat of a request without
+    /// a key is dropped by nobody, so the twin may be repeated only where it never ran.
+    pub fn new(names: Vec<String>, settings: &mut Settings) -> Classes {
+        settings.classes.truncate(names.len());
+        let mut keyless = Vec::new();
+        for n in 0..settings.classes.len() {
+            let twin = (settings.classes[n].repeat == Some(Repeat::Keyed)).then_some(settings.classes.len());
+            if twin.is_some() {
+                let class =
+                    crate::interface::Class { repeat: Some(Repeat::Unsafe), ..settings.classes[n].clone() };
+                settings.classes.push(class);
+            }
+            keyless.push(twin);
+        }
+        let named = &settings.classes[..keyless.len()];
+        Classes {
+            writes: named.iter().map(|c| c.consistency == Some(Consistency::Write)).collect(),
+            deadlines: named.iter().map(|c| c.deadline).collect(),
+            names,
+            keyless,
+        }
+    }
+
+    /// The number of a class by its name, for a request with or without a key.
+    pub fn find(&self, name: &str, keyed: bool) -> Option<usize> {
+        let n = self.names.iter().take(self.keyless.len()).position(|c| c == name)?;
+        Some(self.keyless[n].filter(|_| !keyed).unwrap_or(n))
+    }
+
+    /// Whether a class writes.
+    pub fn writes(&self, name: &str) -> bool {
+        self.names.iter().position(|c| c == name).is_some_and(|n| self.writes.get(n) == Some(&true))
+    }
+
+    /// The deadline of a class.
+    pub fn deadline(&self, name: &str) -> Option<Micros> {
+        let n = self.names.iter().position(|c| c == name)?;
+        self.deadlines.get(n).copied().flatten()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::interface::Class;
+
+    /// Guards against a write without a key that runs twice.
+    #[test]
+    fn a_request_without_a_key_takes_the_unsafe_twin_of_its_class() {
+        let keyed = Class { repeat: Some(Repeat::Keyed), ..Class::default() };
+        let mut settings = Settings { classes: vec![Class::default(), keyed], ..Settings::default() };
+        let classes = Classes::new(vec!["read".into(), "write".into()], &mut settings);
+        assert_eq!((classes.find("read", true), classes.find("read", false)), (Some(0), Some(0)));
+        assert_eq!((classes.find("write", true), classes.find("write", false)), (Some(1), Some(2)));
+        assert_eq!(classes.find("other", true), None);
+        assert_eq!(settings.classes[2].repeat, Some(Repeat::Unsafe));
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,6 +3,7 @@
 //! Nothing here knows a wire. A front hands in a request with its work `W` as an opaque value and gets one
 //! [`Final`] with an answer `A`; a host side carries out [`Command`]s and reports how each attempt ended.
 
+pub mod classes;
 pub mod members;
 pub mod owner;
 
@@ -75,8 +76,26 @@
     Request(Submission<W, A>),
     /// The client of a request has gone.
     Lapsed(RequestId),
+    /// An answer too long to be held back has begun: what it is, while the rest is still to come.
+    Started {
+        /// The request.
+        id: RequestId,
+        /// The attempt.
+        attempt: u8,
+        /// The answer.
+        answer: A,
+    },
     /// An attempt ended.
     Ended(Ended<A>),
+    /// A probe came back, with what the host told; `None`: nothing.
+    Probed {
+        /// The member.
+        member: MemberId,
+        /// Time since it was sent.
+        took: Micros,
+        /// Its load report.
+        report: Option<Report>,
+    },
     /// A message of a peer.
     Peer {
         /// Its number.
@@ -100,6 +119,18 @@
     Stop,
 }
 
+/// How current the data of an answer must be. The module sends only where it knows that; a host side that
+/// is told the position of each answer checks it once more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    /// As it comes.
+    Any,
+    /// No older than this when it is sent.
+    Age(Micros),
+    /// From this point in time or later.
+    Since(Micros),
+}
+
 /// What a host side is asked to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command<W> {
@@ -115,6 +146,15 @@
         work: W,
         /// When to abandon it.
         until: Micros,
+        /// How current its answer must be.
+        need: Need,
+    },
+    /// Ask a host about itself.
+    Probe {
+        /// The module's name for it, handed back.
+        member: MemberId,
+        /// The host's name.
+        host: String,
     },
     /// Stop waiting for an attempt.
     Cancel {
@@ -177,6 +217,11 @@
         Some((id, answer))
     }
 
+    /// Whether inputs wait.
+    pub fn backlog(&self) -> usize {
+        self.inputs.len()
+    }
+
     /// Hands in anything else.
     pub async fn input(&self, input: Input<W, A>) {
         let _ = self.inputs.send(input).await;
@@ -188,13 +233,16 @@
     }
 }
 
+/// The way to the core, and the commands that come out of it.
+pub type Started<W, A> = (Handle<W, A>, Receiver<Command<W>>);
+
 /// Starts the thread that owns the module.
 pub fn start<W, A>(
     settings: Settings,
     seed: u64,
     limits: &Limits,
     clock: Clock,
-) -> std::io::Result<(Handle<W, A>, Receiver<Command<W>>)>
+) -> std::io::Result<Started<W, A>>
 where
     W: Clone + Send + 'static,
     A: Send + 'static,
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -4,7 +4,7 @@
 //! that come after the end are told to the module and dropped, and a client that has gone ends its attempt.
 
 use super::members::{Listing, Members};
-use super::{Command, Ended, Final, Input, Submission};
+use super::{Command, Ended, Final, Input, Need, Submission};
 use crate::Router;
 use crate::interface::*;
 use async_channel::Sender;
@@ -18,6 +18,7 @@
     reply: Sender<Final<A>>,
     deadline: Micros,
     attempts: u8,
+    need: Need,
 }
 
 struct Flight {
@@ -28,9 +29,12 @@
 /// The module with all that belongs to its requests.
 pub struct Owner<W, A> {
     router: Router,
+    classes: Vec<Class>,
     members: Members,
     most: usize,
     open: BTreeMap<RequestId, Open<W, A>>,
+    /// Requests whose answer has begun; nothing more is owed, but their client may go.
+    begun: BTreeSet<RequestId>,
     out: BTreeMap<(RequestId, u8), Flight>,
     deadlines: BTreeSet<(Micros, RequestId)>,
     timers: BTreeSet<(Micros, u64)>,
@@ -42,10 +46,12 @@
     /// An owner of a fresh module that takes `most` requests at once.
     pub fn new(settings: Settings, seed: u64, most: usize) -> Self {
         Owner {
+            classes: settings.classes.clone(),
             router: Router::new(settings, seed),
             members: Members::default(),
             most,
             open: BTreeMap::new(),
+            begun: BTreeSet::new(),
             out: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             timers: BTreeSet::new(),
@@ -101,12 +107,29 @@
         match input {
             Input::Request(request) => self.take(now, request, commands),
             Input::Lapsed(id) => {
-                if let Some(open) = self.open.remove(&id) {
+                let open = self.open.remove(&id);
+                if let Some(open) = &open {
                     self.deadlines.remove(&(open.deadline + OVERDUE, id));
+                }
+                if self.begun.remove(&id) || open.is_some() {
                     self.tell(now, Event::Lapsed { id }, commands);
                 }
             }
+            Input::Started { id, attempt, answer } => {
+                let Some(flight) = self.out.get(&(id, attempt)) else { return };
+                let member = flight.member;
+                // One that was given up meanwhile has its answer: this one is dropped, which ends the attempt.
+                if self.open.contains_key(&id) {
+                    self.finish(id, Final::Served(answer));
+                    self.begun.insert(id);
+                    self.tell(now, Event::Started { id, attempt, member }, commands);
+                }
+            }
             Input::Ended(ended) => self.ended(now, ended, commands),
+            Input::Probed { member, took, report } => {
+                let (ok, report) = (report.is_some(), report.unwrap_or_default());
+                self.tell(now, Event::Probed { member, ok, took, report }, commands);
+            }
             Input::Peer { from, bytes } => self.tell(now, Event::Peer { from, bytes }, commands),
         }
     }
@@ -124,7 +147,13 @@
             let _ = reply.try_send(answer);
             return;
         }
-        self.open.insert(ask.id, Open { work, reply, deadline, attempts: 0 });
+        let need = match self.classes.get(ask.class).and_then(|c| Some((c.consistency?, c.max_age))) {
+            Some((Consistency::Bounded, age)) => Need::Age(age.unwrap_or(0)),
+            Some((Consistency::Session, _)) => ask.token_age.map_or(Need::Any, |age| Need::Since(now - age)),
+            Some((Consistency::Strong, _)) => Need::Since(now),
+            _ => Need::Any,
+        };
+        self.open.insert(ask.id, Open { work, reply, deadline, attempts: 0, need });
         self.deadlines.insert((deadline + OVERDUE, ask.id));
         let ask = Ask { patience: (deadline - now).max(0), ..ask };
         self.tell(now, Event::Request(ask), commands);
@@ -138,6 +167,7 @@
             // One that was given up meanwhile has its answer: this one is dropped.
             self.finish(id, Final::Served(answer));
         }
+        self.begun.remove(&id);
         let event = Settled {
             id,
             attempt,
@@ -188,9 +218,16 @@
             }
             Action::WakeIn { span, timer } => drop(self.timers.insert((now + span.max(0), timer))),
             Action::Probe { member } => {
-                // No protocol here has a probe; the module asks for one only where the settings allow it.
-                let report = Report::default();
-                self.events.push_back(Event::Probed { member, ok: false, took: 0, report });
+                let host = self.members.host(member).filter(|h| h.open).map(|h| h.name.clone());
+                match host {
+                    Some(host) => commands.push(Command::Probe { member, host }),
+                    None => self.events.push_back(Event::Probed {
+                        member,
+                        ok: false,
+                        took: 0,
+                        report: Report::default(),
+                    }),
+                }
             }
             // Discovery is watched from the start to the end, whoever asks.
             Action::Subscribe { on: _ } | Action::FetchList => commands.push(Command::FetchList),
@@ -220,7 +257,7 @@
             return;
         };
         let attempt = open.attempts;
-        open.attempts += 1;
+        open.attempts = open.attempts.saturating_add(1);
         let out = self.out.range((id, 0)..=(id, u8::MAX)).next().is_some();
         let host = self.members.host(member).filter(|_| !out);
         let Some(host) = host else {
@@ -240,8 +277,8 @@
             return;
         };
         let until = stop_at.map_or(open.deadline, |at| at.min(open.deadline));
-        let (host, work) = (host.name.clone(), open.work.clone());
+        let (host, work, need) = (host.name.clone(), open.work.clone(), open.need);
         self.out.insert((id, attempt), Flight { member, sent: now });
-        commands.push(Command::Attempt { id, attempt, host, work, until });
+        commands.push(Command::Attempt { id, attempt, host, work, until, need });
     }
 }
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,106 @@
+//! How the parts are put together: for the platform, and for an operator's file.
+
+pub mod file;
+pub mod operator;
+pub mod platform;
+
+use crate::config::Limits;
+use crate::core::{Command, Handle};
+use crate::net::hosts::{Hosts, Wire};
+use crate::net::listen::{self, Place, Seats, Welcome};
+use async_channel::Receiver;
+use async_executor::{LocalExecutor, Task};
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, future};
+use std::io;
+use std::net::{TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Where tasks run: one thread serves all sockets.
+pub type Executor = Rc<LocalExecutor<'static>>;
+
+/// Runs a daemon on this thread until it ends.
+pub fn run<F: Future<Output = Result<(), String>>>(daemon: impl FnOnce(Executor) -> F) -> Result<(), String> {
+    let executor: Executor = Rc::new(LocalExecutor::new());
+    async_io::block_on(executor.run(daemon(executor.clone())))
+}
+
+/// A signal as a stream of bytes.
+pub fn signal(number: i32) -> Result<Async<UnixStream>, String> {
+    let open = || -> io::Result<Async<UnixStream>> {
+        let (read, write) = UnixStream::pair()?;
+        signal_hook::low_level::pipe::register(number, write)?;
+        Async::new(read)
+    };
+    open().map_err(|e| format!("signals: {e}"))
+}
+
+/// Comes back at the next signal.
+pub async fn signalled(signals: &mut Async<UnixStream>) {
+    while matches!(signals.read(&mut [0]).await, Err(e) if e.kind() == io::ErrorKind::Interrupted) {}
+}
+
+/// Carries out the core's commands for ever; what is not for hosts goes to `other`.
+pub fn carry<W: Wire>(
+    executor: &Executor,
+    hosts: &Rc<Hosts<W>>,
+    commands: Receiver<Command<W::Work>>,
+    handle: &Handle<W::Work, W::Answer>,
+    other: impl AsyncFn(Command<W::Work>) + 'static,
+) -> Task<()> {
+    let (hosts, handle, executor2) = (hosts.clone(), handle.clone(), executor.clone());
+    let tidy = hosts.clone();
+    executor.spawn(async move { tidy.tidy().await }).detach();
+    executor.spawn(async move {
+        while let Ok(command) = commands.recv().await {
+            if let Some(command) = hosts.carry_out(command, &executor2, &handle).await {
+                other(command).await;
+            }
+        }
+    })
+}
+
+/// Takes a front's connections, each in a task of its own.
+pub fn accept<F: Future<Output = ()> + 'static>(
+    executor: &Executor,
+    listener: Async<TcpListener>,
+    seats: &Rc<Seats>,
+    serve: impl Fn(Async<TcpStream>, Place, Welcome) -> F + 'static,
+) -> Task<()> {
+    let (seats, executor2) = (seats.clone(), executor.clone());
+    executor.spawn(async move {
+        let spawn = |stream, place, welcome| executor2.spawn(serve(stream, place, welcome)).detach();
+        listen::accept(&listener, &seats, spawn).await;
+    })
+}
+
+/// Serves until SIGTERM, then until all that was taken is answered; an error if the core ends before.
+pub async fn until_drained(
+    limits: &Limits,
+    seats: &Seats,
+    accepting: Task<()>,
+    carrying: Task<()>,
+) -> Result<(), String> {
+    let mut signals = signal(signal_hook::consts::SIGTERM)?;
+    let over = async {
+        carrying.await;
+        Err("the module's thread has ended".to_string())
+    };
+    let drained = async {
+        signalled(&mut signals).await;
+        let began = Instant::now();
+        log::info!("SIGTERM: draining");
+        // The front layer deals out connections a little longer; all that comes is taken and answered.
+        Timer::after(limits.lame).await;
+        accepting.cancel().await;
+        seats.close();
+        while seats.taken() > 0 && began.elapsed() < limits.drain {
+            Timer::after(Duration::from_millis(10)).await;
+        }
+        log::info!("drained, {} connections left", seats.taken());
+        Ok(())
+    };
+    future::or(over, drained).await
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,10 +44,13 @@
 pub mod clock;
 pub mod config;
 pub mod core;
+pub mod daemon;
 pub mod interface;
+pub mod inventory;
 pub mod json;
 pub mod logger;
 pub mod net;
 pub mod settings;
+pub mod store;
 
 pub use choice::Router;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,89 +1,42 @@
 //! Watches discovery and hands every list to the core at once.
 
-use super::buffer::Buffer;
-use super::http::codec::{Body, head};
+use super::http::client::Client;
 use super::until;
 use crate::config::Limits;
 use crate::core::Control;
 use crate::core::members::Listing;
 use crate::json;
 use async_channel::Receiver;
-use async_io::{Async, Timer};
-use futures_lite::{AsyncWriteExt, future};
+use async_io::Timer;
+use futures_lite::future;
 use std::future::Future;
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// One kept connection to discovery.
-struct Connection {
-    stream: Async<TcpStream>,
-    buffer: Buffer,
-}
-
 fn bad(text: impl Into<String>) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, text.into())
 }
 
-impl Connection {
-    async fn get(&mut self, address: SocketAddr, path: &str, limits: &Limits) -> io::Result<(String, bool)> {
-        let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
-        self.stream.write_all(request.as_bytes()).await?;
-        let head = loop {
-            if let Some((head, used)) =
-                head(self.buffer.unread(), limits.head).map_err(|e| bad(e.to_string()))?
-            {
-                self.buffer.consume(used);
-                break head;
-            }
-            if self.buffer.fill(&mut self.stream).await? == 0 {
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            }
-        };
-        let keeps = head.keeps_open(&head.line[0]);
-        let mut body = Body::of(&head, true).map_err(|e| bad(e.to_string()))?;
-        let mut text = Vec::new();
-        loop {
-            let used =
-                body.take(self.buffer.unread(), &mut text, limits.list).map_err(|e| bad(e.to_string()))?;
-            self.buffer.consume(used);
-            if body == Body::Done {
-                break;
-            }
-            if self.buffer.fill(&mut self.stream).await? == 0 {
-                if body == Body::UntilEnd {
-                    break;
-                }
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            }
-        }
-        if head.line[1] != "200" {
-            return Err(bad(format!("status {}", head.line[1])));
-        }
-        let text = String::from_utf8(text).map_err(|_| bad("the list is not UTF-8"))?;
-        Ok((text, keeps))
-    }
-}
-
 async fn call(
-    kept: &mut Option<Connection>,
+    kept: &mut Option<Client>,
     address: SocketAddr,
     path: &str,
     limits: &Limits,
     time: Duration,
 ) -> io::Result<String> {
     let work = async {
-        let mut connection = match kept.take() {
-            Some(connection) => connection,
-            None => {
-                let stream = Async::<TcpStream>::connect(address).await?;
-                stream.get_ref().set_nodelay(true)?;
-                Connection { stream, buffer: Buffer::default() }
-            }
+        let mut client = match kept.take() {
+            Some(client) => client,
+            None => Client::connect(address).await?,
         };
-        let (text, keeps) = connection.get(address, path, limits).await?;
-        *kept = keeps.then_some(connection);
-        Ok(text)
+        let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
+        let (head, body, keeps) = client.call(request.as_bytes(), (limits.head, limits.list)).await?;
+        *kept = keeps.then_some(client);
+        if head.line[1] != "200" {
+            return Err(bad(format!("status {}", head.line[1])));
+        }
+        String::from_utf8(body).map_err(|_| bad("the list is not UTF-8"))
     };
     until(Instant::now() + time, work).await.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
 }
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -5,7 +5,7 @@
 use crate::clock::Clock;
 use crate::config::Limits;
 use crate::core::members::Host;
-use crate::core::{Command, Ended, Handle, Input};
+use crate::core::{Command, Ended, Handle, Input, Need};
 use crate::interface::*;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -54,19 +54,53 @@
     async fn open(&self, stream: Async<TcpStream>) -> Result<Self::Connection, Outcome>;
     /// Whether nothing came on a connection since its last answer.
     fn quiet(&self, connection: &Self::Connection) -> bool;
-    /// One request with `left` until it is abandoned; sets `sent` once its last byte is written.
+    /// Asks a host about itself; `None` where the protocol has no such question, or no answer came.
+    async fn probe(&self, _connection: &mut Self::Connection) -> Option<Report> {
+        None
+    }
+    /// One request on a connection.
     async fn exchange(
         &self,
         connection: &mut Self::Connection,
         work: &Self::Work,
-        left: Micros,
-        sent: &Cell<bool>,
+        trip: &Trip<'_, Self::Work, Self::Answer>,
     ) -> Exchange<Self::Answer>;
 }
 
-/// The outcome of an attempt whose connection broke: never run before its last byte was written.
-pub fn broken(sent: &Cell<bool>) -> Outcome {
-    if sent.get() { Outcome::Reset } else { Outcome::ConnectFailed }
+/// One attempt on its way.
+pub struct Trip<'a, W, A> {
+    id: RequestId,
+    attempt: u8,
+    handle: &'a Handle<W, A>,
+    stop_at: Micros,
+    /// How current its answer must be.
+    pub need: Need,
+    /// The last byte of the request was written: from then on it may have run.
+    pub sent: Cell<bool>,
+    begun: Cell<bool>,
+}
+
+impl<W, A> Trip<'_, W, A> {
+    /// The present.
+    pub fn now(&self) -> Micros {
+        self.handle.clock().now()
+    }
+
+    /// Time until it is abandoned.
+    pub fn left(&self) -> Micros {
+        (self.stop_at - self.now()).max(0)
+    }
+
+    /// The answer has begun and is the client's now: the deadline no longer binds.
+    pub async fn begin(&self, answer: A) {
+        self.begun.set(true);
+        self.handle.input(Input::Started { id: self.id, attempt: self.attempt, answer }).await;
+    }
+
+    /// The outcome of an attempt whose connection broke: never run before its last byte was written.
+    pub fn broken(&self) -> Outcome {
+        if self.sent.get() { Outcome::Reset } else { Outcome::ConnectFailed }
+    }
 }
 
 /// Whether a stream has neither bytes to read nor an end.
@@ -137,12 +171,14 @@
         handle: &Handle<W::Work, W::Answer>,
     ) -> Option<Command<W::Work>> {
         match command {
-            Command::Attempt { id, attempt, host, work, until } => {
+            Command::Attempt { id, attempt, host, work, until, need } => {
                 let (cancel, cancelled) = async_channel::bounded(1);
                 self.running.borrow_mut().insert((id, attempt), cancel);
                 let (hosts, handle) = (self.clone(), handle.clone());
                 let task = async move {
-                    let done = hosts.attempt(&host, &work, until, &cancelled).await;
+                    let (sent, begun) = (Cell::new(false), Cell::new(false));
+                    let trip = Trip { id, attempt, handle: &handle, stop_at: until, need, sent, begun };
+                    let done = hosts.attempt(&host, &work, &trip, &cancelled).await;
                     hosts.running.borrow_mut().remove(&(id, attempt));
                     let Exchange { outcome, mark, report, answer, .. } = done;
                     log::trace!("request {id}: attempt {attempt} at {host}: {outcome:?}");
@@ -151,6 +187,18 @@
                 executor.spawn(task).detach();
                 None
             }
+            Command::Probe { member, host } => {
+                let (hosts, handle) = (self.clone(), handle.clone());
+                let task = async move {
+                    let began = hosts.clock.now();
+                    let end = Instant::now() + hosts.limits.connect;
+                    let report = until(end, hosts.probe(&host)).await.flatten();
+                    let took = hosts.clock.now() - began;
+                    handle.input(Input::Probed { member, took, report }).await;
+                };
+                executor.spawn(task).detach();
+                None
+            }
             Command::Cancel { id, attempt } => {
                 // Dropping the sender ends the attempt, which closes its connection.
                 self.running.borrow_mut().remove(&(id, attempt));
@@ -191,22 +239,31 @@
         known.idle.clear();
     }
 
+    async fn probe(&self, host: &str) -> Option<Report> {
+        let mut lease = self.lease(host).await.ok()?;
+        let report = self.wire.probe(&mut lease.connection).await?;
+        self.give_back(host, lease);
+        Some(report)
+    }
+
     /// Runs one attempt to its outcome.
     async fn attempt(
         &self,
         host: &str,
         work: &W::Work,
-        stop_at: Micros,
+        trip: &Trip<'_, W::Work, W::Answer>,
         cancelled: &Receiver<()>,
     ) -> Exchange<W::Answer> {
-        let sent = Cell::new(false);
-        let work = self.send(host, work, stop_at, &sent);
+        let work = self.send(host, work, trip);
         let cancel = async {
             while cancelled.recv().await.is_ok() {}
             Exchange::bare(Outcome::Cancelled)
         };
         let time = async {
-            Timer::at(self.clock.instant(stop_at)).await;
+            Timer::at(self.clock.instant(trip.stop_at)).await;
+            if trip.begun.get() {
+                future::pending::<()>().await;
+            }
             Exchange::bare(Outcome::TimedOut)
         };
         // An outcome that has come counts before a wish to stop waiting for it.
@@ -217,8 +274,7 @@
         &self,
         host: &str,
         work: &W::Work,
-        stop_at: Micros,
-        sent: &Cell<bool>,
+        trip: &Trip<'_, W::Work, W::Answer>,
     ) -> Exchange<W::Answer> {
         let mut lease = match self.lease(host).await {
             Ok(lease) => lease,
@@ -228,8 +284,7 @@
         if !self.known.borrow().get(host).is_some_and(|k| k.open) {
             return Exchange::bare(Outcome::ConnectFailed);
         }
-        let left = (stop_at - self.clock.now()).max(0);
-        let done = self.wire.exchange(&mut lease.connection, work, left, sent).await;
+        let done = self.wire.exchange(&mut lease.connection, work, trip).await;
         if done.reusable {
             self.give_back(host, lease);
         }
--- /dev/null
+++ b/src/net/http/server.rs
@@ -0,0 +1,146 @@
+//! The answering side: requests that are read whole, and answers.
+
+use super::codec::{Body, Head, Malformed, head};
+use crate::config::Limits;
+use crate::net::buffer::Buffer;
+use crate::net::link::{Heard, Link};
+use crate::net::until;
+use std::time::Instant;
+
+/// A request that came whole.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its head.
+    pub head: Head,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+impl Request {
+    /// Path and query string of its target.
+    pub fn target(&self) -> (&str, &str) {
+        self.head.line[1].split_once('?').unwrap_or((&self.head.line[1], ""))
+    }
+
+    /// Whether the connection stays open after its answer.
+    pub fn keeps_open(&self) -> bool {
+        self.head.keeps_open(&self.head.line[2])
+    }
+}
+
+/// What came of waiting for a request.
+pub enum Next {
+    /// A request.
+    Request(Box<Request>),
+    /// The connection is over.
+    Over,
+    /// Something that is no request: a status to close with.
+    Refused(u16, String),
+}
+
+/// Words for a status.
+pub fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        204 => "No Content",
+        400 => "Bad Request",
+        403 => "Forbidden",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        415 => "Unsupported Media Type",
+        431 => "Request Header Fields Too Large",
+        501 => "Not Implemented",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        505 => "HTTP Version Not Supported",
+        _ => "Other",
+    }
+}
+
+/// The bytes of an answer's head.
+pub fn answer_head(status: u16, headers: &[(&str, &str)]) -> Vec<u8> {
+    let mut out = format!("HTTP/1.1 {status} {}\r\n", reason(status));
+    for (name, value) in headers {
+        out += &format!("{name}: {value}\r\n");
+    }
+    out += "\r\n";
+    out.into_bytes()
+}
+
+/// A whole answer in plain text.
+pub fn answer(status: u16, headers: &[(&str, &str)], text: &str) -> Vec<u8> {
+    let length = (text.len() + 1).to_string();
+    let mut all = vec![("Content-Type", "text/plain; charset=utf-8"), ("Content-Length", length.as_str())];
+    all.extend_from_slice(headers);
+    let mut out = answer_head(status, &all);
+    out.extend_from_slice(text.as_bytes());
+    out.push(b'\n');
+    out
+}
+
+fn refused(why: &Malformed, too_large: u16) -> Next {
+    let status = if *why == Malformed::TooLarge { too_large } else { 400 };
+    Next::Refused(status, why.to_string())
+}
+
+/// Waits for the next request of a connection. What has begun must be whole within the time for startups.
+pub async fn next(link: &mut Link, buffer: &mut Buffer, limits: &Limits) -> Next {
+    while buffer.unread().is_empty() {
+        match link.hear(true, buffer).await {
+            Ok(Heard::More) => {}
+            _ => return Next::Over,
+        }
+    }
+    let end = Instant::now() + limits.startup;
+    until(end, whole(link, buffer, limits))
+        .await
+        .unwrap_or(Next::Refused(408, "the request took too long".into()))
+}
+
+async fn whole(link: &mut Link, buffer: &mut Buffer, limits: &Limits) -> Next {
+    let head = loop {
+        match head(buffer.unread(), limits.head) {
+            Ok(Some((head, used))) => {
+                buffer.consume(used);
+                break head;
+            }
+            Ok(None) => match link.hear(false, buffer).await {
+                Ok(Heard::More) => {}
+                _ => return Next::Over,
+            },
+            Err(why) => return refused(&why, 431),
+        }
+    };
+    if !head.line[2].starts_with("HTTP/1.") {
+        return Next::Refused(505, "only HTTP/1.1 is spoken".into());
+    }
+    let mut framing = match Body::of(&head, false) {
+        Ok(framing) => framing,
+        Err(why) => return refused(&why, 413),
+    };
+    let asks = framing != Body::Done && head.has("expect", "100-continue");
+    if asks && link.write(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
+        return Next::Over;
+    }
+    let mut body = Vec::new();
+    loop {
+        match framing.take(buffer.unread(), &mut body, limits.message) {
+            Ok(used) => buffer.consume(used),
+            Err(why) => return refused(&why, 413),
+        }
+        if framing == Body::Done {
+            return Next::Request(Box::new(Request { head, body }));
+        }
+        // A stated length over the limit is refused before all of it has come.
+        if matches!(framing, Body::Length(n) | Body::Chunk(n) if n > limits.message) {
+            return refused(&Malformed::TooLarge, 413);
+        }
+        match link.hear(false, buffer).await {
+            Ok(Heard::More) => {}
+            _ => return Next::Over,
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,9 +4,11 @@
 pub mod discovery;
 pub mod hosts;
 pub mod http;
+pub mod link;
 pub mod listen;
 pub mod peers;
 pub mod pg;
+pub mod sparql;
 
 use async_io::Timer;
 use futures_lite::future;
@@ -21,3 +23,9 @@
     })
     .await
 }
+
+/// A number for a session's name.
+pub fn fingerprint(name: &str) -> u64 {
+    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, step)
+}
--- a/src/net/pg/codec.rs
+++ b/src/net/pg/codec.rs
@@ -40,8 +40,11 @@
     Ok(Some((kind, length)))
 }
 
-/// Reads a message once it is whole: its kind, its body, and how many bytes it took.
-pub fn message(bytes: &[u8], most: usize) -> Result<Option<(u8, &[u8], usize)>, Malformed> {
+/// A message: its kind, its body, and how many bytes it took.
+pub type Message<'a> = (u8, &'a [u8], usize);
+
+/// Reads a message once it is whole.
+pub fn message(bytes: &[u8], most: usize) -> Result<Option<Message<'_>>, Malformed> {
     let (Some(&kind), Some(length)) = (bytes.first(), u32_at(bytes, 1)) else { return Ok(None) };
     let length = length as usize;
     if length < 4 {
--- a/src/net/pg/front.rs
+++ b/src/net/pg/front.rs
@@ -4,18 +4,20 @@
 use super::session::{Session, State, Step};
 use super::statement::{self, Statement};
 use crate::config::Limits;
+use crate::core::classes::Classes;
 use crate::core::{Final, Handle, Input};
 use crate::interface::*;
+use crate::net::link::{Heard, Link};
 use crate::net::listen::{Place, Welcome};
-use crate::net::until;
+use crate::net::{fingerprint, until};
 use async_channel::Receiver;
 use async_io::Async;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use futures_lite::future;
 use std::io;
-use std::net::{Shutdown, TcpStream};
+use std::net::TcpStream;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// What all connections of the front share.
 pub struct Front {
@@ -23,37 +25,27 @@
     pub limits: Rc<Limits>,
     /// The way to the core.
     pub handle: Handle<Arc<Statement>, Vec<u8>>,
-    /// Names of the classes, by number.
-    pub classes: Vec<String>,
+    /// The classes by name.
+    pub classes: Classes,
     /// Closed once the first list is there.
     pub ready: Receiver<()>,
 }
 
 /// Refusals of the front itself ask to come back after so long.
 const AGAIN_MS: u32 = 200;
-/// A connection that is closed is read for so long, or its last answer may be lost with a reset.
-const LINGER: Duration = Duration::from_millis(500);
 
 struct Client<'a> {
     front: &'a Front,
-    stream: Async<TcpStream>,
+    link: Link,
     session: Session,
-    place: Place,
-    /// When the last bytes came.
-    read_at: Micros,
-}
-
-enum Heard {
-    More,
-    Gone,
-    Ends,
 }
 
 impl Front {
     /// Serves one connection to its end.
     pub async fn serve(&self, stream: Async<TcpStream>, place: Place, welcome: Welcome) {
         let session = Session::new(self.limits.message);
-        let mut client = Client { front: self, stream, session, place, read_at: 0 };
+        let link = Link::new(stream, place, self.limits.clone(), self.handle.clock());
+        let mut client = Client { front: self, link, session };
         let served = match welcome {
             Welcome::Served => client.run().await,
             Welcome::TurnedAway => client.turn_away().await,
@@ -64,7 +56,7 @@
     }
 
     fn ask(&self, s: &Statement) -> Option<Ask> {
-        let class = self.classes.iter().position(|c| *c == s.class)?;
+        let class = self.classes.find(&s.class, s.keyed)?;
         let now = self.handle.clock().now();
         // The module wants the age of the session's last commit; a clock a little ahead makes it no older.
         let token_age = s.after.map(|at| (now - at).max(0));
@@ -72,18 +64,13 @@
             class,
             group: s.group,
             token_age,
-            session: hash(&s.key),
+            session: fingerprint(&s.key),
             repeated: s.repeated,
             ..Ask::default()
         })
     }
 }
 
-fn hash(key: &str) -> u64 {
-    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
-    key.bytes().fold(0xcbf2_9ce4_8422_2325, step)
-}
-
 fn refusal(text: &str, retry_ms: Option<i64>) -> Vec<u8> {
     let mut out = Vec::new();
     codec::error(&mut out, false, "53300", text, retry_ms.map(|ms| ms.to_string()).as_deref());
@@ -115,47 +102,9 @@
 }
 
 impl Client<'_> {
-    async fn read(&mut self) -> io::Result<usize> {
-        let mut chunk = [0; 8192];
-        let n = self.stream.read(&mut chunk).await?;
-        self.read_at = self.front.handle.clock().now();
-        self.session.push(&chunk[..n]);
-        Ok(n)
-    }
-
-    async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        let work = self.stream.write_all(bytes);
-        until(Instant::now() + self.front.limits.write, work)
-            .await
-            .unwrap_or(Err(io::ErrorKind::TimedOut.into()))
-    }
-
-    /// Waits for bytes, or for the wish to end between requests.
     async fn hear(&mut self) -> io::Result<Heard> {
         let idle = self.session.state() == State::Idle && !self.session.pending();
-        self.place.idle(idle);
-        let mut chunk = [0; 8192];
-        let ends = async {
-            if !idle {
-                future::pending::<()>().await;
-            }
-            self.place.ended().await;
-            Ok(None)
-        };
-        let stream = &self.stream;
-        let read = async { (&*stream).read(&mut chunk).await.map(Some) };
-        // What has come is read before the wish to end is heard.
-        let heard = future::or(read, ends).await;
-        self.place.idle(false);
-        Ok(match heard? {
-            None => Heard::Ends,
-            Some(0) => Heard::Gone,
-            Some(n) => {
-                self.read_at = self.front.handle.clock().now();
-                self.session.push(&chunk[..n]);
-                Heard::More
-            }
-        })
+        self.link.hear(idle, self.session.input()).await
     }
 
     async fn run(&mut self) -> io::Result<()> {
@@ -171,23 +120,23 @@
                 Step::Wait => match self.hear().await? {
                     Heard::More => {}
                     Heard::Gone => return Ok(()),
-                    Heard::Ends => return self.linger().await,
+                    Heard::Ends => return self.link.linger().await,
                 },
-                Step::Write(bytes) => self.write(&bytes).await?,
+                Step::Write(bytes) => self.link.write(&bytes).await?,
                 Step::Ready => {
                     let ready = async { while self.front.ready.recv().await.is_ok() {} };
                     until(Instant::now() + self.front.limits.ready, ready).await;
-                    self.write(&Session::empty()).await?;
+                    self.link.write(&Session::empty()).await?;
                     self.session.answered();
                 }
                 Step::Query(text) => {
                     let Some(bytes) = self.query(&text).await? else { return Ok(()) };
-                    self.write(&bytes).await?;
+                    self.link.write(&bytes).await?;
                     self.session.answered();
                 }
                 Step::Close(bytes) => {
-                    self.write(&bytes).await?;
-                    return self.linger().await;
+                    self.link.write(&bytes).await?;
+                    return self.link.linger().await;
                 }
             }
         }
@@ -207,19 +156,15 @@
             return Ok(Some(failure("22023", "unknown class")));
         };
         let margin = self.front.limits.margin.as_micros() as Micros;
-        let deadline = self.read_at + (statement.patience - margin).max(0);
+        let deadline = self.link.read_at + (statement.patience - margin).max(0);
         let front = self.front;
         let Some((id, reply)) = front.handle.submit(ask, deadline, Arc::new(statement)).await else {
             return Ok(Some(refusal("the pooler is ending", Some(AGAIN_MS.into()))));
         };
         let last = async { Some(reply.recv().await) };
         let gone = async {
-            while !self.session.full() {
-                if !matches!(self.read().await, Ok(n) if n > 0) {
-                    return None;
-                }
-            }
-            future::pending().await
+            self.link.gone(self.session.input(), front.limits.message).await;
+            None
         };
         match future::or(last, gone).await {
             Some(last) => Ok(Some(answer(last.unwrap_or(Final::Failed { overdue: false })))),
@@ -232,11 +177,13 @@
 
     /// Tells a client that there are too many connections: a refusal, so that it may come again.
     async fn turn_away(&mut self) -> io::Result<()> {
-        let end = Instant::now() + LINGER;
+        let end = Instant::now() + self.front.limits.linger;
         while self.session.state() == State::Startup {
             match self.session.step() {
-                Step::Write(bytes) if self.session.state() == State::Startup => self.write(&bytes).await?,
-                Step::Wait => match until(end, self.read()).await {
+                Step::Write(bytes) if self.session.state() == State::Startup => {
+                    self.link.write(&bytes).await?
+                }
+                Step::Wait => match until(end, self.link.read(self.session.input())).await {
                     Some(Ok(n)) if n > 0 => {}
                     _ => return Ok(()),
                 },
@@ -245,15 +192,7 @@
         }
         let mut out = Vec::new();
         codec::error(&mut out, true, "53300", "too many connections", Some(&AGAIN_MS.to_string()));
-        self.write(&out).await?;
-        self.linger().await
-    }
-
-    /// Closes so that what was written arrives: reads on for a while.
-    async fn linger(&mut self) -> io::Result<()> {
-        self.stream.get_ref().shutdown(Shutdown::Write)?;
-        let read = async { while matches!(self.stream.read(&mut [0; 1024]).await, Ok(n) if n > 0) {} };
-        until(Instant::now() + LINGER, read).await;
-        Ok(())
+        self.link.write(&out).await?;
+        self.link.linger().await
     }
 }
--- a/src/net/pg/host.rs
+++ b/src/net/pg/host.rs
@@ -5,10 +5,9 @@
 use crate::config::Limits;
 use crate::interface::*;
 use crate::net::buffer::Buffer;
-use crate::net::hosts::{Exchange, Wire, broken, silent};
+use crate::net::hosts::{Exchange, Trip, Wire, silent};
 use async_io::Async;
 use futures_lite::AsyncWriteExt;
-use std::cell::Cell;
 use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -161,14 +160,13 @@
         &self,
         c: &mut Connection,
         work: &Arc<Statement>,
-        left: Micros,
-        sent: &Cell<bool>,
+        trip: &Trip<'_, Arc<Statement>, Vec<u8>>,
     ) -> Exchange<Vec<u8>> {
-        if c.stream.write_all(&codec::query(&work.with_wait(left))).await.is_err() {
-            return Exchange::bare(broken(sent));
+        if c.stream.write_all(&codec::query(&work.with_wait(trip.left()))).await.is_err() {
+            return Exchange::bare(trip.broken());
         }
-        sent.set(true);
-        let Ok(reply) = self.reply(c).await else { return Exchange::bare(broken(sent)) };
+        trip.sent.set(true);
+        let Ok(reply) = self.reply(c).await else { return Exchange::bare(trip.broken()) };
         let outcome = reply.outcome();
         if outcome == Outcome::Error {
             log::debug!("host: error {:?}, {} rows", reply.error, reply.row);
--- a/src/net/pg/session.rs
+++ b/src/net/pg/session.rs
@@ -51,14 +51,9 @@
         self.state
     }
 
-    /// Takes bytes that came in.
-    pub fn push(&mut self, bytes: &[u8]) {
-        self.buffer.push(bytes);
-    }
-
-    /// Whether it holds as much unread as it may while a request is answered.
-    pub fn full(&self) -> bool {
-        self.buffer.unread().len() > self.most
+    /// Where bytes that come in go.
+    pub fn input(&mut self) -> &mut Buffer {
+        &mut self.buffer
     }
 
     /// Whether bytes wait to be looked at.
--- a/src/net/pg/statement.rs
+++ b/src/net/pg/statement.rs
@@ -19,6 +19,8 @@
     pub after: Option<Micros>,
     /// The client marks it as its own repeat.
     pub repeated: bool,
+    /// It carries an idempotency key.
+    pub keyed: bool,
     /// The quoted key, which names the session in classes that have sessions.
     pub key: String,
 }
@@ -36,8 +38,8 @@
     let start = start.ok_or("the statement has no comment in front")? + 2;
     let length = text[start..].find("*/").ok_or("the comment does not end")?;
     let (comment, body) = (&text[start..start + length], &text[start + length + 2..]);
-    let (mut id, mut class, mut group, mut after, mut repeated, mut wait) =
-        (None, None, None, None, false, None);
+    let (mut id, mut class, mut group, mut after, mut wait) = (None, None, None, None, None);
+    let (mut repeated, mut keyed) = (false, false);
     let mut at = start;
     for part in comment.split(',') {
         let pair = part.trim();
@@ -57,6 +59,7 @@
                 after = Some(number::<i64>(value).and_then(|v| v.checked_mul(1000)).ok_or_else(wrong)?)
             }
             "r" => repeated = value == "1",
+            "k" => keyed = !value.is_empty(),
             // Whatever else a client says goes to the host as it stands.
             _ => {}
         }
@@ -76,6 +79,7 @@
         group: group.ok_or("the comment names no group")?,
         after,
         repeated,
+        keyed,
         key,
     })
 }
--- /dev/null
+++ b/src/net/sparql/front.rs
@@ -0,0 +1,202 @@
+//! The clients' side: HTTP requests in, one final answer each.
+
+use super::host::{Answer, Content};
+use super::operation::{self, Operation, Refusal};
+use super::{CLASS, COME_BACK, GROUP};
+use crate::config::Limits;
+use crate::core::classes::Classes;
+use crate::core::{Final, Handle, Input};
+use crate::interface::*;
+use crate::net::buffer::Buffer;
+use crate::net::http::server::{self, Next, Request};
+use crate::net::link::Link;
+use crate::net::listen::{Place, Welcome};
+use async_channel::Receiver;
+use async_io::Async;
+use futures_lite::future;
+use std::io;
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// What the operator says about the front.
+#[derive(Clone, Debug, Default)]
+pub struct Service {
+    /// Where clients find it.
+    pub path: String,
+    /// Class of a query that names none.
+    pub query: String,
+    /// Class of a query with a position that names none.
+    pub session: Option<String>,
+    /// Class of an update that names none.
+    pub update: String,
+    /// The group of a request that names none.
+    pub group: Option<u32>,
+}
+
+/// What all connections of the front share.
+pub struct Front {
+    /// The limits.
+    pub limits: Rc<Limits>,
+    /// The way to the core.
+    pub handle: Handle<Arc<Operation>, Answer>,
+    /// The classes by name.
+    pub classes: Classes,
+    /// What the operator says.
+    pub service: Service,
+    /// Closed once the first list is there.
+    pub ready: Receiver<()>,
+}
+
+fn refusal(retry_in: Option<Micros>, text: &str) -> Vec<u8> {
+    let ms = retry_in.unwrap_or(1_000_000).max(0) / 1000;
+    // The standard header counts in seconds: rounded up, so that nobody comes too early by it.
+    let seconds = ((ms + 999) / 1000).max(1).to_string();
+    server::answer(503, &[("Retry-After", &seconds), (COME_BACK, &ms.max(1).to_string())], text)
+}
+
+impl Front {
+    /// Serves one connection to its end.
+    pub async fn serve(&self, stream: Async<TcpStream>, place: Place, welcome: Welcome) {
+        let mut link = Link::new(stream, place, self.limits.clone(), self.handle.clock());
+        if welcome == Welcome::TurnedAway {
+            let text = "too many connections";
+            let _ = link.write(&refusal(None, text)).await;
+            let _ = link.linger().await;
+            return;
+        }
+        let mut buffer = Buffer::default();
+        loop {
+            match server::next(&mut link, &mut buffer, &self.limits).await {
+                Next::Over => break,
+                Next::Refused(status, why) => {
+                    log::warn!("client: {why}");
+                    if link.write(&server::answer(status, &[("Connection", "close")], &why)).await.is_err() {
+                        return;
+                    }
+                    break;
+                }
+                Next::Request(request) => match self.request(&mut link, &mut buffer, &request).await {
+                    Ok(true) if request.keeps_open() && !(link.ends() && buffer.unread().is_empty()) => {}
+                    Ok(true) => break,
+                    // Cut off without an end: the client must see that what it has is not whole.
+                    Ok(false) | Err(_) => return,
+                },
+            }
+        }
+        let _ = link.linger().await;
+    }
+
+    /// Answers one request. False: the connection cannot be used any more.
+    async fn request(&self, link: &mut Link, buffer: &mut Buffer, request: &Request) -> io::Result<bool> {
+        let (path, _) = request.target();
+        if path == "/-/ready" {
+            let ready = self.ready.is_closed();
+            let (status, text) = if ready { (200, "ready") } else { (503, "no list of hosts yet") };
+            return link.write(&server::answer(status, &[], text)).await.map(|()| true);
+        }
+        if path != self.service.path {
+            return link.write(&server::answer(404, &[], "nothing is here")).await.map(|()| true);
+        }
+        let (ask, patience, operation) = match operation::read(request).and_then(|o| self.ask(o)) {
+            Ok(asked) => asked,
+            Err(Refusal(status, why)) => {
+                log::warn!("client: {why}");
+                let allow = [("Allow", "GET, POST")];
+                let headers = if status == 405 { &allow[..] } else { &[] };
+                return link.write(&server::answer(status, headers, &why)).await.map(|()| true);
+            }
+        };
+        let margin = self.limits.margin.as_micros() as Micros;
+        let deadline = link.read_at + (patience - margin).max(0);
+        let Some((id, reply)) = self.handle.submit(ask, deadline, Arc::new(operation)).await else {
+            return link.write(&refusal(None, "the pooler is ending")).await.map(|()| true);
+        };
+        let last = async { Some(reply.recv().await.unwrap_or(Final::Failed { overdue: false })) };
+        let gone = async {
+            link.gone(buffer, self.limits.message).await;
+            None
+        };
+        let Some(last) = future::or(last, gone).await else {
+            self.handle.input(Input::Lapsed(id)).await;
+            return Ok(false);
+        };
+        let written = self.answer(link, request, last).await;
+        if !matches!(written, Ok(true)) {
+            // Whatever is still on its way for this client ends now.
+            self.handle.input(Input::Lapsed(id)).await;
+        }
+        written
+    }
+
+    fn ask(&self, operation: Operation) -> Result<(Ask, Micros, Operation), Refusal> {
+        let s = &self.service;
+        let query = s.session.as_ref().filter(|_| operation.position.is_some()).unwrap_or(&s.query);
+        let name = operation.class.as_ref().unwrap_or(if operation.update { &s.update } else { query });
+        let class = self.classes.find(name, operation.key.is_some());
+        let class = class.ok_or_else(|| Refusal(400, format!("{CLASS}: no class {name:?}")))?;
+        // An update that goes the way of reads would reach a replica.
+        if operation.update && !self.classes.writes(name) {
+            return Err(Refusal(400, format!("{CLASS}: {name:?} is no class for updates")));
+        }
+        let group = operation.group.or(s.group);
+        let group =
+            group.ok_or_else(|| Refusal(400, format!("{GROUP} names no group, and there is no default")))?;
+        let now = self.handle.clock().now();
+        let token_age = operation.position.map(|at| (now - at).max(0));
+        let session = operation.session.as_deref().map_or(0, crate::net::fingerprint);
+        let patience = operation.patience.or(self.classes.deadline(name));
+        let patience = patience.unwrap_or(self.limits.patience.as_micros() as Micros);
+        Ok((Ask { class, group, token_age, session, ..Ask::default() }, patience, operation))
+    }
+
+    /// Writes the final answer. False: it was cut short.
+    async fn answer(&self, link: &mut Link, request: &Request, last: Final<Answer>) -> io::Result<bool> {
+        let bytes = match last {
+            Final::Served(answer) => return serve(link, request, answer).await,
+            Final::Refused { overdue: true, .. } | Final::Failed { overdue: true } => {
+                server::answer(504, &[], "no answer came in time")
+            }
+            Final::Refused { retry_in, .. } => refusal(retry_in, "no score host can take this now"),
+            Final::Failed { .. } => server::answer(502, &[], "the request failed; it may have had an effect"),
+            Final::UnknownGroup => server::answer(404, &[], "no list names this group"),
+        };
+        link.write(&bytes).await.map(|()| true)
+    }
+}
+
+async fn serve(link: &mut Link, request: &Request, answer: Answer) -> io::Result<bool> {
+    let Answer { status, headers, content } = answer;
+    let mut headers: Vec<(&str, &str)> = headers.iter().map(|(n, v)| (n.as_str(), v.as_str())).collect();
+    match content {
+        Content::Whole(body) => {
+            let length = body.len().to_string();
+            if status != 204 {
+                headers.push(("Content-Length", &length));
+            }
+            let mut bytes = server::answer_head(status, &headers);
+            bytes.extend_from_slice(&body);
+            link.write(&bytes).await.map(|()| true)
+        }
+        Content::Parts(_) if request.head.line[2] != "HTTP/1.1" => {
+            // Without chunks the end of the connection would be the end of the answer, cut short or not.
+            link.write(&server::answer(502, &[], "the answer is too long for HTTP/1.0")).await?;
+            Ok(false)
+        }
+        Content::Parts(parts) => {
+            headers.push(("Transfer-Encoding", "chunked"));
+            link.write(&server::answer_head(status, &headers)).await?;
+            while let Ok(part) = parts.recv().await {
+                if part.is_empty() {
+                    return link.write(b"0\r\n\r\n").await.map(|()| true);
+                }
+                let mut chunk = format!("{:x}\r\n", part.len()).into_bytes();
+                chunk.extend_from_slice(&part);
+                chunk.extend_from_slice(b"\r\n");
+                link.write(&chunk).await?;
+            }
+            log::warn!("a host broke off in the midst of an answer");
+            Ok(false)
+        }
+    }
+}
--- /dev/null
+++ b/src/net/sparql/host.rs
@@ -0,0 +1,245 @@
+//! The host side: an operation to a host that speaks SPARQL over HTTP, and what its answer means.
+
+use super::operation::Operation;
+use super::{LOAD, POSITION, ROLE};
+use crate::config::Limits;
+use crate::core::Need;
+use crate::interface::*;
+use crate::net::hosts::{Exchange, Trip, Wire};
+use crate::net::http::client::Client;
+use crate::net::http::codec::{Body, Head};
+use crate::net::until;
+use async_channel::Receiver;
+use async_io::Async;
+use std::io;
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+/// The body of an answer.
+#[derive(Clone, Debug)]
+pub enum Content {
+    /// All of it.
+    Whole(Vec<u8>),
+    /// Too long to be held back: parts, then an empty one. A channel that closes without the empty part:
+    /// the host broke off.
+    Parts(Receiver<Vec<u8>>),
+}
+
+/// A host's answer on its way to the client.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// Headers that pass through.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub content: Content,
+}
+
+/// SPARQL over HTTP towards hosts.
+pub struct Sparql {
+    limits: Rc<Limits>,
+    path: String,
+    report_fields: Vec<String>,
+}
+
+type OwnTrip<'a> = Trip<'a, Arc<Operation>, Answer>;
+
+/// What a host's answer says about the host.
+fn mark(head: &Head) -> Option<Mark> {
+    let primary = match head.get(ROLE)? {
+        "primary" => true,
+        "replica" => false,
+        _ => return None,
+    };
+    let position =
+        head.get(POSITION).and_then(|p| p.parse::<Micros>().ok()).and_then(|ms| ms.checked_mul(1000));
+    Some(Mark { primary, position: position.unwrap_or(0).max(0) })
+}
+
+/// A load report made of the headers: `x0` and `x1` are the position in seconds and the role, as elsewhere.
+fn report(head: &Head, fields: &[String]) -> Report {
+    let told = mark(head);
+    let load = head.get(LOAD).unwrap_or("");
+    let value = |field: &String| match field.as_str() {
+        "x0" => told.map(|m| m.position as f64 / 1e6),
+        "x1" => told.map(|m| f64::from(u8::from(m.primary))),
+        name => {
+            let mut pairs = load.split(',').filter_map(|p| p.trim().split_once('='));
+            pairs.find(|(n, _)| *n == name).and_then(|(_, v)| v.parse().ok()).filter(|v: &f64| v.is_finite())
+        }
+    };
+    let mut report = Report::default();
+    for (n, v) in fields.iter().take(4).map_while(value).enumerate() {
+        report.values[n] = v;
+        report.count = n as u8 + 1;
+    }
+    report
+}
+
+/// What a status means for the attempt. An answer about the operation itself (a query that does not parse,
+/// a type that is not offered) is the client's.
+fn outcome(status: u16) -> Outcome {
+    match status {
+        412 | 421 => Outcome::Miss,
+        429 | 503 => Outcome::Full,
+        200..=299 | 400..=407 | 409..=499 => Outcome::Ok,
+        _ => Outcome::Error,
+    }
+}
+
+/// Whether an answer's data is as current as it must be. A primary is at the present; from a replica only a
+/// position that it told with this very answer counts.
+fn current(mark: Option<Mark>, since: Option<Micros>) -> bool {
+    match (since, mark) {
+        (None, _) => true,
+        (Some(_), None) => false,
+        (Some(since), Some(mark)) => mark.primary || mark.position > 0 && mark.position >= since,
+    }
+}
+
+fn passes(name: &str) -> bool {
+    let hop = ["connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade", "content-length"];
+    let own = ["brookpass-load", "brookpass-role"];
+    let name = name.to_ascii_lowercase();
+    !hop.contains(&name.as_str()) && !own.contains(&name.as_str()) && !name.starts_with("proxy-")
+}
+
+impl Sparql {
+    /// Hosts answer operations at `path`.
+    pub fn new(limits: Rc<Limits>, path: String, report_fields: Vec<String>) -> Sparql {
+        Sparql { limits, path, report_fields }
+    }
+
+    async fn answer(
+        &self,
+        c: &mut Client,
+        operation: &Operation,
+        trip: &OwnTrip<'_>,
+    ) -> io::Result<Exchange<Answer>> {
+        // The bound counts from the send: what the host must have is fixed before it has the request.
+        let since = match trip.need {
+            Need::Any => None,
+            Need::Age(age) => Some(trip.now() - age),
+            Need::Since(at) => Some(at),
+        };
+        c.send(&operation.request("score-host", &self.path, trip.left(), since)).await?;
+        trip.sent.set(true);
+        let head = c.head(self.limits.head).await?;
+        let status = head.line[1].parse().unwrap_or(0);
+        let (mark, report) = (mark(&head), report(&head, &self.report_fields));
+        let mut framing = Body::of(&head, true)?;
+        let keeps = head.keeps_open(&head.line[0]) && framing != Body::UntilEnd;
+        let mut result = outcome(status);
+        if result == Outcome::Ok && status < 300 && !current(mark, since) {
+            log::warn!("a host's answer is older than its read allows; it is dropped");
+            result = Outcome::Miss;
+        }
+        if framing == Body::UntilEnd && result == Outcome::Ok {
+            // Nobody could tell such an answer from one that was cut short.
+            log::warn!("a host's answer states neither a length nor chunks; it is dropped");
+            result = Outcome::Error;
+        }
+        let done = |outcome, answer, reusable| Exchange { outcome, mark, report, answer, reusable };
+        let headers = || head.headers.iter().filter(|(n, _)| passes(n)).cloned().collect();
+        let mut body = Vec::new();
+        loop {
+            let whole = c.part(&mut framing, &mut body, usize::MAX).await?;
+            if whole {
+                let answer = Answer { status, headers: headers(), content: Content::Whole(body) };
+                return Ok(done(result, (result == Outcome::Ok).then_some(answer), keeps));
+            }
+            if body.len() > self.limits.answer {
+                break;
+            }
+        }
+        if result != Outcome::Ok {
+            return Ok(done(result, None, false));
+        }
+        // Longer than is held back: from here on it is the client's, and cannot be repeated.
+        let (parts, rest) = async_channel::bounded(self.limits.parts);
+        trip.begin(Answer { status, headers: headers(), content: Content::Parts(rest) }).await;
+        loop {
+            if !body.is_empty() && parts.send(std::mem::take(&mut body)).await.is_err() {
+                return Ok(done(Outcome::Cancelled, None, false));
+            }
+            let part = c.part(&mut framing, &mut body, usize::MAX);
+            match until(Instant::now() + self.limits.stall, part).await {
+                Some(Ok(true)) => break,
+                Some(Ok(false)) => {}
+                _ => return Ok(done(Outcome::Reset, None, false)),
+            }
+        }
+        for last in [body, Vec::new()] {
+            let _ = parts.send(last).await;
+        }
+        Ok(done(Outcome::Ok, None, keeps))
+    }
+}
+
+impl Wire for Sparql {
+    type Work = Arc<Operation>;
+    type Answer = Answer;
+    type Connection = Client;
+
+    async fn open(&self, stream: Async<TcpStream>) -> Result<Client, Outcome> {
+        Ok(Client::new(stream))
+    }
+
+    fn quiet(&self, c: &Client) -> bool {
+        c.quiet()
+    }
+
+    async fn probe(&self, c: &mut Client) -> Option<Report> {
+        let request = format!("GET {}?query=ASK%20%7B%7D HTTP/1.1\r\nHost: score-host\r\n\r\n", self.path);
+        let (head, _, keeps) =
+            c.call(request.as_bytes(), (self.limits.head, self.limits.answer)).await.ok()?;
+        let report = report(&head, &self.report_fields);
+        (keeps && report.count >= 2).then_some(report)
+    }
+
+    async fn exchange(&self, c: &mut Client, work: &Arc<Operation>, trip: &OwnTrip<'_>) -> Exchange<Answer> {
+        self.answer(c, work, trip).await.unwrap_or_else(|e| {
+            log::debug!("host: {e}");
+            Exchange::bare(trip.broken())
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against stale answers: a replica proves its position with each answer, or the answer is dropped.
+    #[test]
+    fn only_a_position_told_with_the_answer_proves_it_current() {
+        let told = |primary, position| Some(Mark { primary, position });
+        assert!(current(None, None));
+        assert!(!current(None, Some(5)));
+        assert!(current(told(true, 0), Some(5)));
+        assert!(current(told(false, 5), Some(5)));
+        assert!(!current(told(false, 4), Some(5)));
+        assert!(!current(told(false, 0), Some(-5)));
+    }
+
+    #[test]
+    fn each_status_has_its_outcome() {
+        for (status, wanted) in [
+            (200, Outcome::Ok),
+            (204, Outcome::Ok),
+            (400, Outcome::Ok),
+            (406, Outcome::Ok),
+            (408, Outcome::Error),
+            (412, Outcome::Miss),
+            (421, Outcome::Miss),
+            (429, Outcome::Full),
+            (503, Outcome::Full),
+            (500, Outcome::Error),
+            (301, Outcome::Error),
+        ] {
+            assert_eq!(outcome(status), wanted, "{status}");
+        }
+    }
+}
--- /dev/null
+++ b/src/net/sparql/operation.rs
@@ -0,0 +1,192 @@
+//! What a client asks for: a query or an update, as the SPARQL 1.1 Protocol puts them into HTTP.
+
+use super::{CLASS, GROUP, KEY, POSITION, SESSION, TIME_LEFT};
+use crate::interface::Micros;
+use crate::net::http::codec::Head;
+use crate::net::http::form;
+use crate::net::http::server::Request;
+
+/// A refusal by the front itself: a status and its reason.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal(pub u16, pub String);
+
+fn bad(why: impl Into<String>) -> Refusal {
+    Refusal(400, why.into())
+}
+
+/// An operation on its way to a host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Operation {
+    /// It changes data.
+    pub update: bool,
+    method: &'static str,
+    query: String,
+    /// Headers that pass through: content negotiation and the body's type.
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+    /// The class it names.
+    pub class: Option<String>,
+    /// The group it names.
+    pub group: Option<u32>,
+    /// Its session.
+    pub session: Option<String>,
+    /// Its key.
+    pub key: Option<String>,
+    /// How long the client waits.
+    pub patience: Option<Micros>,
+    /// The position that it has to see, as Unix time.
+    pub position: Option<Micros>,
+}
+
+fn number(head: &Head, name: &str, most: i64) -> Result<Option<i64>, Refusal> {
+    let Some(text) = head.get(name) else { return Ok(None) };
+    let number =
+        text.parse().ok().filter(|n| (0..=most).contains(n) && text.bytes().all(|b| b.is_ascii_digit()));
+    number.map(Some).ok_or_else(|| bad(format!("{name}: {text:?} is no such value")))
+}
+
+fn word(head: &Head, name: &str) -> Result<Option<String>, Refusal> {
+    match head.get(name) {
+        Some(text) if text.is_empty() || text.len() > 256 => Err(bad(format!("{name}: no such value"))),
+        text => Ok(text.map(str::to_string)),
+    }
+}
+
+/// Reads an operation out of a request to the endpoint.
+pub fn read(request: &Request) -> Result<Operation, Refusal> {
+    let head = &request.head;
+    let (_, query) = request.target();
+    let malformed = |e: crate::net::http::codec::Malformed| bad(e.to_string());
+    let in_url = form::pairs(query).map_err(malformed)?;
+    let count = |pairs: &[(String, String)], name: &str| pairs.iter().filter(|(n, _)| n == name).count();
+    let kind =
+        head.get("content-type").unwrap_or("").split(';').next().unwrap_or("").trim().to_ascii_lowercase();
+    let direct = |update| {
+        if count(&in_url, "query") + count(&in_url, "update") > 0 {
+            return Err(bad("an operation in the URL and one in the body"));
+        }
+        let text = std::str::from_utf8(&request.body).map_err(|_| bad("the operation is not UTF-8"))?;
+        if text.trim().is_empty() {
+            return Err(bad("the operation is empty"));
+        }
+        Ok(update)
+    };
+    let (method, update) = match (head.line[0].as_str(), kind.as_str()) {
+        ("GET", _) => match (count(&in_url, "query"), count(&in_url, "update")) {
+            (1, 0) => ("GET", false),
+            (_, 1..) => return Err(bad("an update is not sent by GET")),
+            _ => return Err(bad("a GET has one parameter named query")),
+        },
+        ("POST", "application/x-www-form-urlencoded") => {
+            let text = std::str::from_utf8(&request.body).map_err(|_| bad("the form is not UTF-8"))?;
+            let pairs = form::pairs(text).map_err(malformed)?;
+            if count(&in_url, "query") + count(&in_url, "update") > 0 {
+                return Err(bad("an operation in the URL and one in the body"));
+            }
+            match (count(&pairs, "query"), count(&pairs, "update")) {
+                (1, 0) => ("POST", false),
+                (0, 1) => ("POST", true),
+                _ => return Err(bad("a form has one parameter, query or update")),
+            }
+        }
+        ("POST", "application/sparql-query") => ("POST", direct(false)?),
+        ("POST", "application/sparql-update") => ("POST", direct(true)?),
+        ("POST", other) => return Err(Refusal(415, format!("{other:?} is no form of a SPARQL operation"))),
+        (other, _) => return Err(Refusal(405, format!("{other} is not used here"))),
+    };
+    // A host reads the URL and the body as the client wrote them; nothing is decoded and written anew.
+    let passes = |n: &str| n.starts_with("accept") || matches!(n, "content-type" | "content-encoding");
+    let headers = head.headers.iter().filter(|(n, _)| passes(&n.to_ascii_lowercase())).cloned().collect();
+    Ok(Operation {
+        update,
+        method,
+        query: query.to_string(),
+        headers,
+        body: if method == "GET" { Vec::new() } else { request.body.clone() },
+        class: word(head, CLASS)?,
+        group: number(head, GROUP, u32::MAX.into())?.map(|g| g as u32),
+        session: word(head, SESSION)?,
+        key: word(head, KEY)?,
+        patience: number(head, TIME_LEFT, 86_400_000)?.map(|ms| ms * 1000),
+        position: number(head, POSITION, i64::MAX / 1000)?.map(|ms| ms * 1000),
+    })
+}
+
+impl Operation {
+    /// The request as a host gets it: `since` is what its data has to see, as Unix time.
+    pub fn request(&self, host: &str, path: &str, left: Micros, since: Option<Micros>) -> Vec<u8> {
+        let question = if self.query.is_empty() { "" } else { "?" };
+        let mut out = format!("{} {path}{question}{} HTTP/1.1\r\nHost: {host}\r\n", self.method, self.query);
+        let mut put = |name: &str, value: &str| out += &format!("{name}: {value}\r\n");
+        self.headers.iter().for_each(|(n, v)| put(n, v));
+        put(TIME_LEFT, &(left / 1000).max(1).to_string());
+        for (name, value) in [(CLASS, &self.class), (SESSION, &self.session), (KEY, &self.key)] {
+            value.iter().for_each(|v| put(name, v));
+        }
+        self.group.iter().for_each(|g| put(GROUP, &g.to_string()));
+        // Rounded up: a host that has applied all up to there has applied what is needed.
+        since.iter().for_each(|t| put(POSITION, &((t + 999) / 1000).to_string()));
+        if self.method == "POST" {
+            put("Content-Length", &self.body.len().to_string());
+        }
+        out += "\r\n";
+        let mut out = out.into_bytes();
+        out.extend_from_slice(&self.body);
+        out
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::http::codec::head;
+
+    fn request(text: &str) -> Request {
+        let (head, used) = head(text.as_bytes(), 4096).unwrap().unwrap();
+        Request { head, body: text.as_bytes()[used..].to_vec() }
+    }
+
+    #[test]
+    fn each_form_of_the_protocol_is_read_and_passed_on_unchanged() {
+        let form = "Content-Type: application/x-www-form-urlencoded; charset=UTF-8";
+        for (text, update) in [
+            ("GET /sparql?query=ASK%20%7B%7D&default-graph-uri=urn:g HTTP/1.1\r\nAccept: text/csv\r\n\r\n".to_string(), false),
+            (format!("POST /sparql HTTP/1.1\r\n{form}\r\n\r\nquery=ASK+%7B%7D"), false),
+            (format!("POST /sparql HTTP/1.1\r\n{form}\r\n\r\nupdate=CLEAR+ALL&using-graph-uri=urn:g"), true),
+            ("POST /sparql?named-graph-uri=u HTTP/1.1\r\nContent-Type: application/sparql-query\r\n\r\nASK {}".into(), false),
+            ("POST /sparql HTTP/1.1\r\nContent-Type: application/sparql-update\r\n\r\nCLEAR ALL".into(), true),
+        ] {
+            let request = request(&text);
+            let operation = read(&request).unwrap();
+            assert_eq!(operation.update, update, "{text}");
+            let sent = String::from_utf8(operation.request("h:1", "/sparql", 5_000, Some(1_500))).unwrap();
+            let line = text.lines().next().unwrap();
+            assert!(sent.starts_with(&format!("{line}\r\nHost: h:1\r\n")), "{sent}");
+            assert!(sent.ends_with(text.split("\r\n\r\n").nth(1).unwrap()), "{sent}");
+            assert!(sent.contains("Brookpass-Time-Left-Ms: 5\r\n") && sent.contains("Brookpass-Position: 2\r\n"));
+            for h in ["Accept: text/csv", form] {
+                assert_eq!(sent.contains(h), text.contains(h), "{sent}");
+            }
+        }
+    }
+
+    #[test]
+    fn what_is_out_of_form_has_its_status() {
+        let form = "Content-Type: application/x-www-form-urlencoded\r\n\r\n";
+        for (text, status) in [
+            ("GET /sparql HTTP/1.1\r\n\r\n".to_string(), 400),
+            ("GET /sparql?update=CLEAR+ALL HTTP/1.1\r\n\r\n".into(), 400),
+            ("GET /sparql?query=a&query=b HTTP/1.1\r\n\r\n".into(), 400),
+            ("GET /sparql?query=%zz HTTP/1.1\r\n\r\n".into(), 400),
+            (format!("POST /sparql HTTP/1.1\r\n{form}query=a&update=b"), 400),
+            (format!("POST /sparql?query=a HTTP/1.1\r\n{form}update=b"), 400),
+            ("POST /sparql HTTP/1.1\r\nContent-Type: application/sparql-query\r\n\r\n ".into(), 400),
+            ("POST /sparql HTTP/1.1\r\nContent-Type: text/plain\r\n\r\nASK {}".into(), 415),
+            ("PUT /sparql HTTP/1.1\r\n\r\n".into(), 405),
+            ("GET /sparql?query=a HTTP/1.1\r\nBrookpass-Group: two\r\n\r\n".into(), 400),
+            ("GET /sparql?query=a HTTP/1.1\r\nBrookpass-Time-Left-Ms: -1\r\n\r\n".into(), 400),
+        ] {
+            assert_eq!(read(&request(&text)).map_err(|r| r.0), Err(status), "{text}");
+        }
+    }
+}
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,224 @@
+//! The program on the platform's protocol: started as the platform starts it, spoken to over sockets.
+
+mod stand_in;
+
+use stand_in::*;
+use std::net::SocketAddr;
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
+
+const SETTINGS: &str = r#"{"balancers":1,"me":0,"discovery":"automatic","zones":["a"],"zone":0,
+ "services":[
+  {"name":"read","target":1.0,"deadline":2.5,"repeat":"repeatable","worth":3,"late-worth":0.2},
+  {"name":"write","target":0.6,"deadline":2.0,"repeat":"by_key","group":"cell","dedup-window":1.2,"worth":6,"late-worth":0.5}],
+ "family-info":{"consistency":["lag_bound","mutate"],"max-age":[0.8,0.0],"behind":"await","session-marks":"brought","zero":12.5},
+ "limits":{"may-cancel":true,"second-copies":false,"retry-after":true,"max-retry-after":1.0,"max-attempts":8,
+  "connect-timeout":0.25,"conn-idle":15.0},
+ "report":{"via":"answers","fields":["x0","x1","util"]}}"#;
+
+struct Setup {
+    daemon: Daemon,
+    address: SocketAddr,
+    discovery: Discovery,
+}
+
+fn config(listen: &str, discovery: SocketAddr, settings: &str) -> String {
+    format!(
+        "{{\"name\":\"n0\",\"listen\":\"{listen}\",\"discovery\":\"{discovery}\",\"seed\":\"8c1f\",\n\
+         \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\n\"settings\":{settings}}}"
+    )
+}
+
+fn started(endpoints: &[String]) -> Setup {
+    let discovery = Discovery::start();
+    discovery.preset(endpoints);
+    let path = folder("platform").join("config.json");
+    std::fs::write(&path, config("127.0.0.1:0", discovery.address, SETTINGS)).unwrap();
+    let mut daemon = Daemon::start(&[], &[("GW_CONFIG", path.to_str().unwrap())]);
+    let address = daemon.address("clients at ");
+    discovery.wait_for_watch();
+    Setup { daemon, address, discovery }
+}
+
+fn read(id: &str, wait: u32) -> String {
+    format!("/* id={id},c=read,d={wait},cluster=1 */ SELECT payload FROM entries WHERE ref = 'a'")
+}
+
+fn write(id: &str, wait: u32, key: &str) -> String {
+    format!(
+        "/* id={id},c=write,d={wait}{key},cluster=1 */ INSERT INTO entries (ref, payload) VALUES ('a', 'b') RETURNING payload"
+    )
+}
+
+/// A believed primary that takes writes; the module starts at the first in its order, so both stand in.
+fn pair(primary: impl Fn(&str) -> Reply + Send + Sync + 'static) -> (PgHost, PgHost) {
+    let replica =
+        |text: &str| if text.contains("INSERT") { Reply::Error("25006") } else { Reply::Row(b"replica") };
+    (PgHost::start("source", primary), PgHost::start("copy", replica))
+}
+
+fn both(p: &PgHost, r: &PgHost) -> Vec<String> {
+    vec![endpoint("p", p.address, 1, "active"), endpoint("r", r.address, 1, "active")]
+}
+
+/// Guards against clients that write their first queries right behind the startup message.
+#[test]
+fn a_startup_with_queries_right_behind_it_is_answered_in_order() {
+    let (p, r) = pair(|_| Reply::Row(b"\x9f\x00\x03"));
+    let s = started(&both(&p, &r));
+    let mut client = PgClient::raw(s.address);
+    let bytes = [pg_startup(), pg_query(""), pg_query(&write("1", 1000, ",k=7")), pg_query(&read("2", 1000))];
+    client.send(&bytes.concat());
+    assert_eq!(client.answer(), Some(Answer::default()));
+    assert!(client.answer().unwrap().empty);
+    assert_eq!(client.answer().unwrap().value.as_deref(), Some(&b"\x9f\x00\x03"[..]));
+    assert_eq!(client.answer().unwrap().value.as_deref(), Some(&b"replica"[..]));
+    let sent = p.statements.lock().unwrap()[0].clone();
+    let wait: u32 = sent.split(",d=").nth(1).unwrap().split(',').next().unwrap().parse().unwrap();
+    assert!((1..=1000).contains(&wait), "{sent}");
+    assert_eq!(sent.replace(&format!(",d={wait}"), ",d=1000"), write("1", 1000, ",k=7"), "only d changes");
+}
+
+/// Guards against sends to a host that drains: the list counts before anything that is asked after it.
+#[test]
+fn nothing_new_goes_to_a_host_that_leaves() {
+    let one = PgHost::start("copy", |_| Reply::Row(b"one"));
+    let two = PgHost::start("copy", |_| Reply::Row(b"two"));
+    let list = |status| vec![endpoint("a", one.address, 1, status), endpoint("b", two.address, 1, "active")];
+    let s = started(&list("active"));
+    let mut client = PgClient::connect(s.address);
+    eventually("both hosts are used", || {
+        client.ask(&read("1", 1000));
+        one.count() > 0 && two.count() > 0
+    });
+    s.discovery.publish(&list("leaving"));
+    let before = one.count();
+    for n in 0..30 {
+        assert_eq!(client.ask(&read(&n.to_string(), 1000)).value.as_deref(), Some(&b"two"[..]));
+    }
+    assert_eq!(one.count(), before);
+    // A list that is out of form must not cost the one that is held.
+    s.discovery.break_once("{\"index\":9,\"endpoints\":[}");
+    s.discovery.wait_for_watch();
+    assert_eq!(client.ask(&read("x", 1000)).value.as_deref(), Some(&b"two"[..]));
+}
+
+/// Guards against a write that runs twice: after its last byte a break means that it may have run.
+#[test]
+fn a_write_that_may_have_run_is_repeated_only_with_a_key() {
+    let (p, r) = pair(|_| Reply::Break);
+    let s = started(&both(&p, &r));
+    let mut client = PgClient::connect(s.address);
+    let answer = client.ask(&write("1", 1000, ""));
+    assert_eq!((answer.code.as_deref(), p.count()), (Some("58000"), 1));
+    let (p, r) = pair(|_| Reply::Break);
+    let s = started(&both(&p, &r));
+    PgClient::connect(s.address).ask(&write("2", 1900, ",k=9"));
+    assert!(p.count() >= 2, "a keyed write is repeated within its window");
+}
+
+/// Guards against work for nobody: a client that has gone ends its attempt.
+#[test]
+fn a_client_that_goes_ends_its_attempt() {
+    let (p, r) = pair(|_| Reply::Silence);
+    let s = started(&both(&p, &r));
+    let mut client = PgClient::connect(s.address);
+    client.send(&pg_query(&write("1", 20_000, ",k=1")));
+    eventually("the primary has the write", || p.count() == 1);
+    drop(client);
+    p.dropped.recv_timeout(PATIENCE).expect("the attempt's connection is closed");
+}
+
+#[test]
+fn a_request_without_an_answer_fails_at_its_deadline_and_one_that_is_refused_says_when_to_come_back() {
+    let (p, r) = pair(|_| Reply::Silence);
+    let s = started(&both(&p, &r));
+    let began = std::time::Instant::now();
+    let answer = PgClient::connect(s.address).ask(&write("1", 300, ",k=1"));
+    assert_eq!(answer.code.as_deref(), Some("57014"));
+    assert!(began.elapsed().as_millis() < 1_000);
+    let full = PgHost::start("copy", |_| Reply::Error("53300"));
+    s.discovery.publish(&[endpoint("f", full.address, 1, "active")]);
+    let answer = PgClient::connect(s.address).ask(&read("2", 400));
+    assert_eq!(answer.code.as_deref(), Some("53300"));
+    assert!(answer.detail.unwrap().parse::<u32>().unwrap() > 0);
+}
+
+/// Guards against bad input that reaches a host, or that costs the client its connection without a word.
+#[test]
+fn bad_input_gets_a_proper_answer_and_goes_nowhere() {
+    let (p, r) = pair(|_| Reply::Row(b"x"));
+    let s = started(&both(&p, &r));
+    let mut client = PgClient::connect(s.address);
+    for (text, code) in [
+        ("SELECT 1".to_string(), "42601"),
+        ("/* id=1,c=read,cluster=1 */ SELECT 1".into(), "42601"),
+        (read("1", 100).replace("c=read", "c=other"), "22023"),
+        (read("1", 100).replace("cluster=1", "cluster=77"), "42704"),
+    ] {
+        let answer = client.ask(&text);
+        assert_eq!((answer.code.as_deref(), answer.fatal), (Some(code), false), "{text}");
+    }
+    client.send(&pg_message(b'P', b"\0SELECT 1\0\0\0"));
+    client.send(&pg_message(b'S', b""));
+    assert_eq!(client.answer().unwrap().code.as_deref(), Some("0A000"));
+    for bytes in [
+        vec![0, 0, 0, 8, 0, 2, 0, 0],
+        vec![0xff; 8],
+        [pg_startup(), vec![b'Q', 0x7f, 0xff, 0xff, 0xff]].concat(),
+        [pg_startup(), pg_message(b'Q', b"no end")].concat(),
+        [pg_startup(), vec![b'!', 0, 0, 0, 4]].concat(),
+    ] {
+        let mut client = PgClient::raw(s.address);
+        client.send(&bytes);
+        let mut last = None;
+        while let Some(answer) = client.answer() {
+            last = Some(answer);
+        }
+        let last = last.expect("an answer before the end");
+        assert_eq!((last.code.as_deref(), last.fatal), (Some("08P01"), true), "{bytes:?}");
+    }
+    assert_eq!(p.count() + r.count(), 0);
+    assert_eq!(client.ask(&write("9", 1000, ",k=1")).value.as_deref(), Some(&b"x"[..]), "it still serves");
+}
+
+/// Guards against requests lost at a planned restart.
+#[test]
+fn sigterm_answers_all_that_was_taken_and_then_ends() {
+    let (go, wait) = channel();
+    let wait = Arc::new(Mutex::new(wait));
+    let (p, r) = pair(move |text| match text.contains("INSERT") {
+        true => Reply::After(wait.clone(), b"late"),
+        false => Reply::Row(b"replica"),
+    });
+    let mut s = started(&both(&p, &r));
+    let mut client = PgClient::connect(s.address);
+    let mut idle = PgClient::connect(s.address);
+    client.send(&pg_query(&write("1", 2_000, ",k=1")));
+    eventually("the primary has the write", || p.count() == 1);
+    s.daemon.signal("-TERM");
+    s.daemon.line("draining");
+    assert_eq!(idle.ask(&read("2", 1000)).value.as_deref(), Some(&b"replica"[..]), "taken after SIGTERM");
+    go.send(()).unwrap();
+    assert_eq!(client.answer().unwrap().value.as_deref(), Some(&b"late"[..]));
+    assert_eq!(idle.answer(), None, "idle connections end");
+    assert!(s.daemon.wait().success());
+}
+
+#[test]
+fn a_bad_configuration_is_one_line_with_file_and_line() {
+    let path = folder("bad").join("config.json");
+    let file = path.to_str().unwrap();
+    let good = config("127.0.0.1:0", nobody(), SETTINGS);
+    for (text, why) in [
+        (good.replace("\"repeat\":\"by_key\"", "\"repeat\":\"by_key\"]"), "line 6"),
+        (good.replace("127.0.0.1:0", "here"), "listen"),
+        (good.replace("\"deadline\":2.0", "\"deadline\":\"soon\""), "services.1.deadline"),
+    ] {
+        std::fs::write(&path, text).unwrap();
+        let mut daemon = Daemon::start(&[], &[("GW_CONFIG", file)]);
+        let line = daemon.line(file);
+        assert!(line.contains(why), "{line}");
+        assert!(!daemon.wait().success());
+    }
+}
--- /dev/null
+++ b/tests/session.rs
@@ -0,0 +1,98 @@
+//! The states of a PostgreSQL client's connection under random steps, against a short model.
+
+use brookpass::net::pg::session::{Session, State, Step};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+/// What a client may send.
+#[derive(Clone, Copy, Debug)]
+enum Sent {
+    Empty,
+    Query,
+    Extended,
+    Sync,
+    Unknown,
+    Terminate,
+}
+
+fn bytes(sent: Sent) -> Vec<u8> {
+    let message =
+        |kind: u8, body: &[u8]| [&[kind][..], &(body.len() as u32 + 4).to_be_bytes(), body].concat();
+    match sent {
+        Sent::Empty => message(b'Q', b" \0"),
+        Sent::Query => message(b'Q', b"SELECT 1\0"),
+        Sent::Extended => message(b'P', b"\0x\0\0\0"),
+        Sent::Sync => message(b'S', b""),
+        Sent::Unknown => message(b'!', b""),
+        Sent::Terminate => message(b'X', b""),
+    }
+}
+
+/// The model: what a connection in `state` owes for a message, and where it stands then.
+fn owes(state: State, sent: Sent) -> (Option<&'static str>, State) {
+    match (state, sent) {
+        (State::Closed, _) => (None, State::Closed),
+        (_, Sent::Terminate) => (Some("close"), State::Closed),
+        (_, Sent::Sync) => (Some("write"), State::Idle),
+        (State::Skipping, _) => (None, State::Skipping),
+        (_, Sent::Empty) => (Some("ready"), State::Idle),
+        (_, Sent::Query) => (Some("query"), State::Idle),
+        (_, Sent::Extended) => (Some("write"), State::Skipping),
+        (_, Sent::Unknown) => (Some("close"), State::Closed),
+    }
+}
+
+fn did(session: &mut Session) -> Vec<&'static str> {
+    let mut done = Vec::new();
+    loop {
+        done.push(match session.step() {
+            Step::Wait => return done,
+            Step::Write(_) => "write",
+            Step::Ready => "ready",
+            Step::Query(_) => "query",
+            Step::Close(_) => "close",
+        });
+        if matches!(done.last(), Some(&"ready" | &"query")) {
+            assert_eq!(session.state(), State::Busy);
+            assert_eq!(session.step(), Step::Wait, "one request at a time");
+            session.answered();
+        }
+    }
+}
+
+/// Whatever the pieces in which bytes arrive, each message gets what the model owes, in order, once.
+#[test]
+fn random_steps_follow_the_model() {
+    let kinds = [Sent::Empty, Sent::Query, Sent::Extended, Sent::Sync, Sent::Unknown, Sent::Terminate];
+    // The two that end a connection are rare, or hardly any run would get far.
+    let kind = prop::sample::select(kinds[..4].repeat(8).into_iter().chain(kinds).collect::<Vec<_>>());
+    let steps = (prop::collection::vec(kind, 0..30), prop::collection::vec(1usize..40, 1..20), any::<bool>());
+    let config = Config { cases: 400, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[5; 32]);
+    let check = |(sent, pieces, encryption): (Vec<Sent>, Vec<usize>, bool)| {
+        let mut all = if encryption { vec![0, 0, 0, 8, 4, 210, 22, 47] } else { Vec::new() };
+        let mut wanted = vec!["write"; 1 + usize::from(encryption)];
+        all.extend([&14u32.to_be_bytes()[..], &196_608u32.to_be_bytes(), b"user\0\0"].concat());
+        let mut state = State::Idle;
+        for one in sent {
+            all.extend(bytes(one));
+            let (owed, next) = owes(state, one);
+            wanted.extend(owed);
+            state = next;
+        }
+        let (mut session, mut done, mut rest) = (Session::new(1024), Vec::new(), &all[..]);
+        for piece in pieces.iter().cycle() {
+            let (now, later) = rest.split_at((*piece).min(rest.len()));
+            session.input().push(now);
+            done.extend(did(&mut session));
+            rest = later;
+            if rest.is_empty() {
+                break;
+            }
+        }
+        prop_assert_eq!(done, wanted);
+        prop_assert_eq!(session.state(), state);
+        Ok(())
+    };
+    TestRunner::new_with_rng(config, rng).run(&steps, check).unwrap();
+}
--- /dev/null
+++ b/tests/stand_in/mod.rs
@@ -0,0 +1,488 @@
+//! Stand-ins for what the daemon meets: discovery, hosts and clients, in threads on loopback sockets.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Nothing here takes so long; a wait that does has failed.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+pub fn now_ms() -> i64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as i64
+}
+
+/// Waits for a condition that another thread brings about.
+pub fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "not in time: {what}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// A folder of the test's own.
+pub fn folder(name: &str) -> PathBuf {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let n = NEXT.fetch_add(1, Ordering::Relaxed);
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}-{n}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&path);
+    std::fs::create_dir_all(&path).unwrap();
+    path
+}
+
+/// The program under test.
+pub struct Daemon {
+    pub child: Child,
+    lines: Receiver<String>,
+    pub seen: Vec<String>,
+}
+
+impl Daemon {
+    pub fn start(words: &[&str], variables: &[(&str, &str)]) -> Daemon {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_brookpass"));
+        command.args(words).env_remove("GW_CONFIG").envs(variables.iter().copied()).stderr(Stdio::piped());
+        let mut child = command.spawn().unwrap();
+        let errors = BufReader::new(child.stderr.take().unwrap());
+        let (send, lines) = channel();
+        thread::spawn(move || errors.lines().map_while(Result::ok).try_for_each(|l| send.send(l)));
+        Daemon { child, lines, seen: Vec::new() }
+    }
+
+    /// Waits for a log line that holds `text`.
+    pub fn line(&mut self, text: &str) -> String {
+        loop {
+            match self.lines.recv_timeout(PATIENCE) {
+                Ok(line) => {
+                    self.seen.push(line.clone());
+                    if line.contains(text) {
+                        return line;
+                    }
+                }
+                Err(e) => panic!("no line with {text:?} ({e}): {:#?}", self.seen),
+            }
+        }
+    }
+
+    /// The address that a log line names after `words`.
+    pub fn address(&mut self, words: &str) -> SocketAddr {
+        let line = self.line(words);
+        let rest = line.split(words).nth(1).unwrap();
+        let end = rest.find(|c: char| !(c.is_ascii_digit() || ".:".contains(c))).unwrap_or(rest.len());
+        rest[..end].parse().unwrap()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            assert!(Instant::now() < end, "the daemon goes on: {:#?}", self.seen);
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Takes connections for as long as the test runs, each in a thread.
+pub fn listen(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let serve = Arc::new(serve);
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let serve = serve.clone();
+            let _ = stream.set_nodelay(true);
+            thread::spawn(move || serve(stream));
+        }
+    });
+    address
+}
+
+/// An address where nobody listens.
+pub fn nobody() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+// ---- HTTP ----
+
+#[derive(Clone, Debug, Default)]
+pub struct Http {
+    pub first: String,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+    /// The body came to its stated end.
+    pub whole: bool,
+}
+
+impl Http {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(&name.to_ascii_lowercase()).map(String::as_str)
+    }
+
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// Reads one HTTP message; `None` at the end of the stream.
+pub fn read_http(reader: &mut impl BufRead) -> Option<Http> {
+    let mut line = || {
+        let mut text = String::new();
+        reader.read_line(&mut text).ok().filter(|n| *n > 0).map(|_| text.trim_end().to_string())
+    };
+    let mut message = Http { first: line()?, ..Http::default() };
+    loop {
+        let text = line()?;
+        if text.is_empty() {
+            break;
+        }
+        let (name, value) = text.split_once(':')?;
+        message.headers.insert(name.to_ascii_lowercase(), value.trim().to_string());
+    }
+    if let Some(length) = message.header("content-length").and_then(|l| l.parse().ok()) {
+        let mut body = vec![0; length];
+        message.whole = reader.read_exact(&mut body).is_ok();
+        message.body = body;
+    } else if message.header("transfer-encoding") == Some("chunked") {
+        loop {
+            let mut size = String::new();
+            if reader.read_line(&mut size).unwrap_or(0) == 0 {
+                return Some(message);
+            }
+            let Ok(size) = usize::from_str_radix(size.trim(), 16) else { return Some(message) };
+            let mut chunk = vec![0; size + 2];
+            if reader.read_exact(&mut chunk).is_err() {
+                return Some(message);
+            }
+            message.body.extend_from_slice(&chunk[..size]);
+            if size == 0 {
+                message.whole = true;
+                return Some(message);
+            }
+        }
+    } else {
+        message.whole = true;
+    }
+    Some(message)
+}
+
+pub struct HttpClient {
+    pub reader: BufReader<TcpStream>,
+}
+
+impl HttpClient {
+    pub fn connect(address: SocketAddr) -> HttpClient {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_nodelay(true).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        HttpClient { reader: BufReader::new(stream) }
+    }
+
+    pub fn send(&mut self, text: &str) {
+        self.reader.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
+    pub fn receive(&mut self) -> Http {
+        read_http(&mut self.reader).expect("an answer")
+    }
+
+    pub fn call(&mut self, text: &str) -> Http {
+        self.send(text);
+        self.receive()
+    }
+}
+
+/// One request on a connection of its own.
+pub fn call(address: SocketAddr, text: &str) -> Http {
+    HttpClient::connect(address).call(text)
+}
+
+// ---- discovery ----
+
+#[derive(Default)]
+struct Told {
+    index: u64,
+    endpoints: String,
+    /// The version after which the last watch asked.
+    asked_after: u64,
+    broken: Option<String>,
+}
+
+/// Discovery, as the platform's agent answers.
+pub struct Discovery {
+    told: Arc<(Mutex<Told>, Condvar)>,
+    pub address: SocketAddr,
+}
+
+pub fn endpoint(name: &str, address: SocketAddr, group: u32, status: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","address":"{address}","zone":"a","type":"m","group":{group},"status":"{status}","weight":1.0,"since_ms":0}}"#
+    )
+}
+
+impl Discovery {
+    pub fn start() -> Discovery {
+        let told = Arc::new((Mutex::new(Told::default()), Condvar::new()));
+        let shared = told.clone();
+        let address = listen(move |stream| {
+            let mut writer = stream.try_clone().unwrap();
+            let mut reader = BufReader::new(stream);
+            while let Some(request) = read_http(&mut reader) {
+                let (lock, changed) = &*shared;
+                let mut told = lock.lock().unwrap();
+                let after = request
+                    .first
+                    .split("after=")
+                    .nth(1)
+                    .and_then(|t| t.split(['&', ' ']).next()?.parse().ok());
+                if let Some(after) = after {
+                    told.asked_after = after;
+                    changed.notify_all();
+                    let waits = |t: &mut Told| t.index <= after && t.broken.is_none();
+                    told = changed.wait_timeout_while(told, Duration::from_secs(5), waits).unwrap().0;
+                }
+                let fresh = after.is_none_or(|a| told.index > a);
+                let list = if fresh { told.endpoints.clone() } else { String::new() };
+                let body = told.broken.take().unwrap_or_else(|| {
+                    format!(r#"{{"index":{},"snapshot":{fresh},"endpoints":[{list}]}}"#, told.index)
+                });
+                let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+                drop(told);
+                if writer.write_all(text.as_bytes()).is_err() {
+                    return;
+                }
+            }
+        });
+        Discovery { told, address }
+    }
+
+    /// Publishes a list, and comes back once the daemon has it: its next watch asks after it.
+    pub fn publish(&self, endpoints: &[String]) {
+        let (lock, changed) = &*self.told;
+        let mut told = lock.lock().unwrap();
+        told.index += 1;
+        told.endpoints = endpoints.join(",");
+        changed.notify_all();
+        let index = told.index;
+        let (_guard, late) = changed.wait_timeout_while(told, PATIENCE, |t| t.asked_after < index).unwrap();
+        assert!(!late.timed_out(), "the daemon did not ask again");
+    }
+
+    /// Sets the list before anybody asks.
+    pub fn preset(&self, endpoints: &[String]) {
+        let mut told = self.told.0.lock().unwrap();
+        (told.index, told.endpoints) = (1, endpoints.join(","));
+    }
+
+    /// Answers the next call with something that is no list.
+    pub fn break_once(&self, body: &str) {
+        self.told.0.lock().unwrap().broken = Some(body.to_string());
+        self.told.1.notify_all();
+    }
+
+    pub fn wait_for_watch(&self) {
+        eventually("a watch", || {
+            let told = self.told.0.lock().unwrap();
+            told.asked_after == told.index && told.broken.is_none()
+        });
+    }
+}
+
+// ---- PostgreSQL ----
+
+pub fn pg_message(kind: u8, body: &[u8]) -> Vec<u8> {
+    let mut out = vec![kind];
+    out.extend_from_slice(&(body.len() as u32 + 4).to_be_bytes());
+    out.extend_from_slice(body);
+    out
+}
+
+pub fn pg_startup() -> Vec<u8> {
+    let mut body = 196_608u32.to_be_bytes().to_vec();
+    body.extend_from_slice(b"user\0web\0database\0orders\0\0");
+    let mut out = (body.len() as u32 + 4).to_be_bytes().to_vec();
+    out.extend_from_slice(&body);
+    out
+}
+
+pub fn pg_query(text: &str) -> Vec<u8> {
+    pg_message(b'Q', &[text.as_bytes(), b"\0"].concat())
+}
+
+pub fn pg_read(stream: &mut impl Read) -> Option<(u8, Vec<u8>)> {
+    let mut head = [0; 5];
+    stream.read_exact(&mut head).ok()?;
+    let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
+    let mut body = vec![0; length - 4];
+    stream.read_exact(&mut body).ok()?;
+    Some((head[0], body))
+}
+
+pub fn pg_field(body: &[u8], name: u8) -> Option<String> {
+    let field = body.split(|b| *b == 0).find(|f| f.first() == Some(&name))?;
+    Some(String::from_utf8_lossy(&field[1..]).into_owned())
+}
+
+/// What a host does with a statement.
+pub enum Reply {
+    Row(&'static [u8]),
+    Error(&'static str),
+    /// Says nothing until the other side closes.
+    Silence,
+    /// Ends the connection.
+    Break,
+    /// Answers once this is told.
+    After(Arc<Mutex<Receiver<()>>>, &'static [u8]),
+}
+
+/// A host that speaks PostgreSQL's protocol.
+pub struct PgHost {
+    pub address: SocketAddr,
+    pub statements: Arc<Mutex<Vec<String>>>,
+    /// A message each time a connection ended while its statement was unanswered.
+    pub dropped: Receiver<()>,
+}
+
+impl PgHost {
+    pub fn start(role: &'static str, reply: impl Fn(&str) -> Reply + Send + Sync + 'static) -> PgHost {
+        let statements = Arc::new(Mutex::new(Vec::new()));
+        let (gone, dropped) = channel();
+        let (seen, gone) = (statements.clone(), Mutex::new(gone));
+        let address = listen(move |stream| {
+            let _ = pg_host(stream, role, &reply, &seen, &gone);
+        });
+        PgHost { address, statements, dropped }
+    }
+
+    pub fn count(&self) -> usize {
+        self.statements.lock().unwrap().len()
+    }
+}
+
+fn pg_host(
+    mut stream: TcpStream,
+    role: &str,
+    reply: &impl Fn(&str) -> Reply,
+    seen: &Mutex<Vec<String>>,
+    gone: &Mutex<Sender<()>>,
+) -> Option<()> {
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).ok()?;
+    let mut startup = vec![0; u32::from_be_bytes(length) as usize - 4];
+    stream.read_exact(&mut startup).ok()?;
+    let ready = pg_message(b'Z', b"I");
+    stream.write_all(&[pg_message(b'R', &[0; 4]), ready.clone()].concat()).ok()?;
+    loop {
+        let (kind, body) = pg_read(&mut stream)?;
+        if kind != b'Q' {
+            return None;
+        }
+        let text = String::from_utf8_lossy(&body[..body.len() - 1]).into_owned();
+        seen.lock().unwrap().push(text.clone());
+        let status = |name: &str, value: &str| pg_message(b'S', format!("{name}\0{value}\0").as_bytes());
+        let told = [status("rank", role), status("as_of", &now_ms().to_string())].concat();
+        let row = |value: &[u8]| {
+            let data = [&1u16.to_be_bytes()[..], &(value.len() as u32).to_be_bytes(), value].concat();
+            let described = pg_message(b'T', &[&1u16.to_be_bytes()[..], b"payload\0", &[0; 18]].concat());
+            [described, pg_message(b'D', &data), pg_message(b'C', b"SELECT 1\0")].concat()
+        };
+        let answer = match reply(&text) {
+            Reply::Row(value) => row(value),
+            Reply::Error(code) => pg_message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes()),
+            Reply::Break => return None,
+            Reply::Silence => {
+                let ended = !matches!(stream.read(&mut [0]), Ok(n) if n > 0);
+                assert!(ended, "a second statement on a connection that has not answered");
+                let _ = gone.lock().unwrap().send(());
+                return None;
+            }
+            Reply::After(go, value) => {
+                let _ = go.lock().unwrap().recv_timeout(PATIENCE);
+                row(value)
+            }
+        };
+        stream.write_all(&[answer, told, ready.clone()].concat()).ok()?;
+    }
+}
+
+/// What a client was answered, up to ReadyForQuery.
+#[derive(Debug, Default, PartialEq)]
+pub struct Answer {
+    pub value: Option<Vec<u8>>,
+    pub code: Option<String>,
+    pub detail: Option<String>,
+    pub empty: bool,
+    pub fatal: bool,
+}
+
+pub struct PgClient {
+    pub stream: TcpStream,
+}
+
+impl PgClient {
+    pub fn connect(address: SocketAddr) -> PgClient {
+        let mut client = PgClient::raw(address);
+        client.send(&pg_startup());
+        assert_eq!(client.answer(), Some(Answer::default()));
+        client
+    }
+
+    pub fn raw(address: SocketAddr) -> PgClient {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_nodelay(true).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        PgClient { stream }
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    /// The next answer; `None` when the connection has ended.
+    pub fn answer(&mut self) -> Option<Answer> {
+        let mut answer = Answer::default();
+        loop {
+            match pg_read(&mut self.stream) {
+                Some((b'Z', _)) => return Some(answer),
+                Some((b'D', body)) => answer.value = Some(body[6..].to_vec()),
+                Some((b'I', _)) => answer.empty = true,
+                Some((b'E', body)) => {
+                    answer.code = pg_field(&body, b'C');
+                    answer.detail = pg_field(&body, b'D');
+                    answer.fatal = pg_field(&body, b'S').as_deref() == Some("FATAL");
+                }
+                Some(_) => {}
+                None => return (answer != Answer::default()).then_some(answer),
+            }
+        }
+    }
+
+    pub fn ask(&mut self, text: &str) -> Answer {
+        self.send(&pg_query(text));
+        self.answer().expect("an answer")
+    }
+}
