Keep a daemon's own files apart from the store, check operator's files, count seats in one budget

Faults found by tests and reading: Seats::seat gave places to turned-away connections beyond the budget while an evicted one was still closing (src/net/listen.rs); a fresh daemon that caught up could show a list without hosts for half a second (Shared::catch_up); a request target with a bare line feed passed on as a header (codec::head); a position beside a bounded class was ignored (sparql::front::ask). Each has a test.

--- a/src/core/classes.rs
+++ b/src/core/classes.rs
@@ -8,7 +8,7 @@
     names: Vec<String>,
     /// For a keyed class, the number of its twin for requests that carry no key.
     keyless: Vec<Option<usize>>,
-    writes: Vec<bool>,
+    kinds: Vec<Option<Consistency>>,
     deadlines: Vec<Option<Micros>>,
 }
 
@@ -29,7 +29,7 @@
         }
         let named = &settings.classes[..keyless.len()];
         Classes {
-            writes: named.iter().map(|c| c.consistency == Some(Consistency::Write)).collect(),
+            kinds: named.iter().map(|c| c.consistency).collect(),
             deadlines: named.iter().map(|c| c.deadline).collect(),
             names,
             keyless,
@@ -42,9 +42,18 @@
         Some(self.keyless[n].filter(|_| !keyed).unwrap_or(n))
     }
 
+    fn kind(&self, name: &str) -> Option<Consistency> {
+        self.names.iter().position(|c| c == name).and_then(|n| self.kinds.get(n).copied().flatten())
+    }
+
     /// Whether a class writes.
     pub fn writes(&self, name: &str) -> bool {
-        self.names.iter().position(|c| c == name).is_some_and(|n| self.writes.get(n) == Some(&true))
+        self.kind(name) == Some(Consistency::Write)
+    }
+
+    /// Whether what a class answers includes a position that its client names.
+    pub fn sees_positions(&self, name: &str) -> bool {
+        matches!(self.kind(name), Some(Consistency::Session | Consistency::Strong | Consistency::Write))
     }
 
     /// The deadline of a class.
--- a/src/daemon/operator.rs
+++ b/src/daemon/operator.rs
@@ -6,7 +6,6 @@
 use crate::config::Limits;
 use crate::core::classes::Classes;
 use crate::core::{self, Control, Handle};
-use crate::interface::Micros;
 use crate::net::hosts::Hosts;
 use crate::net::link::Link;
 use crate::net::listen::{self, Seats};
@@ -14,11 +13,12 @@
 use crate::net::sparql::host::Sparql;
 use crate::net::until;
 use crate::store::sync::Shared;
+use crate::store::view::Files;
 use crate::store::{Store, snapshot, view};
 use async_io::Timer;
-use futures_lite::future;
+use std::path::Path;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 fn open_store(operator: &Operator, clock: &Clock) -> Result<Store, String> {
     // The start is part of the node's name: a restart without disk makes no stamp a second time.
@@ -31,62 +31,48 @@
     Ok(store)
 }
 
-/// Puts the file's settings into the store, unless the store has newer ones.
-fn publish(operator: &Operator, shared: &Shared) {
-    let Some(settings) = &operator.settings else { return };
-    shared.change(|s| {
-        if view::is_newer(s, view::SETTINGS_FILE, operator.changed) {
-            s.put(view::SETTINGS, Some(settings.clone()));
-            s.put(view::SETTINGS_FILE, Some(operator.changed.to_string()));
-        }
-    });
-}
-
 /// Reads the inventory whenever its file changes, and on SIGHUP. One that is out of form is refused whole:
 /// what was last good stays.
-async fn reload(operator: &Operator, shared: &Shared, clock: &Clock, limits: &Limits) -> Result<(), String> {
-    let Some(path) = &operator.inventory else { return future::pending().await };
+async fn reload(operator: &Operator, shared: &Shared, limits: &Limits) -> Result<(), String> {
     let mut hangup = signal(signal_hook::consts::SIGHUP)?;
-    let mut seen: Option<(Micros, u64)> = None;
-    let mut caught_up = shared.read(Store::is_caught_up);
+    // What was read at the start is read once more: the file may have changed since.
+    let mut seen = None;
     loop {
-        let asked = async {
-            signalled(&mut hangup).await;
-            true
-        };
-        let asked = future::or(asked, async {
-            Timer::after(limits.period).await;
-            false
-        })
-        .await;
-        let meta = std::fs::metadata(path).ok();
-        let stamp = meta.and_then(|m| {
-            let changed = m.modified().ok()?.duration_since(std::time::UNIX_EPOCH).ok()?;
-            Some((changed.as_micros() as Micros, m.len()))
-        });
-        // After catching up the file is looked at again: what it said before was not stamped.
-        let now_caught_up = shared.read(Store::is_caught_up);
-        let again = std::mem::replace(&mut caught_up, now_caught_up) != now_caught_up;
-        if stamp == seen && !asked && !again {
+        let asked = until(Instant::now() + limits.period, signalled(&mut hangup)).await.is_some();
+        let Some(path) = &operator.inventory else { continue };
+        let now = stamp(path);
+        if now == seen && !asked {
             continue;
         }
-        seen = stamp;
+        seen = now;
         match file::inventory(path, &operator.zones, limits) {
-            Ok((hosts, changed)) => {
-                if again {
-                    publish(operator, shared);
-                }
-                shared.change(|s| view::take_inventory(s, &hosts, changed, clock.now()));
-            }
+            Ok(hosts) => shared.read_files(|files| files.hosts = Some(hosts)),
             Err(e) => log::error!("{e}; the last good inventory stays"),
         }
     }
 }
 
-/// Hands each list that the store makes to the core.
-async fn follow<W, A>(shared: &Shared, handle: &Handle<W, A>, ready: async_channel::Sender<()>) {
+/// What tells a file's versions apart without reading it.
+fn stamp(path: &Path) -> Option<(SystemTime, u64)> {
+    let meta = std::fs::metadata(path).ok()?;
+    Some((meta.modified().ok()?, meta.len()))
+}
+
+/// Hands each list that the store makes to the core, and says when the settings are no longer those that
+/// run: a module keeps those that it was started with.
+async fn follow<W, A>(
+    shared: &Shared,
+    handle: &Handle<W, A>,
+    ready: async_channel::Sender<()>,
+    mut settings: String,
+) {
     let mut last = None;
     loop {
+        let newer = shared.read(|s| s.get(view::SETTINGS).filter(|t| *t != settings).map(str::to_string));
+        if let Some(newer) = newer {
+            log::warn!("the store has other settings now; they count from the next start");
+            settings = newer;
+        }
         let list = shared.read(view::listing);
         if last.as_ref() != Some(&list.entries) && !(last.is_none() && list.entries.is_empty()) {
             last = Some(list.entries.clone());
@@ -110,8 +96,7 @@
 }
 
 /// The settings to run with: the store's, once it has some.
-async fn settings(operator: &Operator, shared: &Shared, limits: &Limits) -> String {
-    publish(operator, shared);
+async fn settings(shared: &Shared, limits: &Limits) -> String {
     loop {
         if let Some(text) = shared.read(|s| s.get(view::SETTINGS).map(str::to_string)) {
             return text;
@@ -125,9 +110,9 @@
 pub async fn serve(operator: Operator, executor: Executor) -> Result<(), String> {
     let clock = Clock::start();
     let mut limits = Limits::for_sockets(operator.sockets);
-    // A file that is out of form must show at the start, not at the first reload.
+    let mut files = Files { settings: operator.settings.clone().map(|s| (s, operator.changed)), hosts: None };
     if let Some(path) = &operator.inventory {
-        file::inventory(path, &operator.zones, &limits)?;
+        files.hosts = Some(file::inventory(path, &operator.zones, &limits)?);
     }
     let store = open_store(&operator, &clock)?;
     let at = operator.store.listen;
@@ -135,7 +120,8 @@
     let at = store_listener.get_ref().local_addr().unwrap_or(at);
     log::info!("{}: store at http://{at}", operator.name);
     let listener = listen::open(operator.listen).map_err(|e| format!("{}: {e}", operator.listen))?;
-    let shared = Rc::new(Shared::new(store, operator.store.peers.clone(), limits.clone()));
+    let shared = Rc::new(Shared::new(store, operator.store.peers.clone(), limits.clone(), clock.clone()));
+    shared.read_files(|own| *own = files);
     let operator = Rc::new(operator);
 
     // The store first: whoever is drained elsewhere must not be sent anything here.
@@ -174,7 +160,7 @@
         executor.spawn(task).detach();
     }
     catch_up(&shared, &limits).await;
-    let text = settings(&operator, &shared, &limits).await;
+    let text = settings(&shared, &limits).await;
     let (mut settings, names, all) = file::read_settings(&text, operator.number)?;
     let seconds = |key: &str| all.get(key).and_then(|v| v.parse::<f64>().ok());
     limits.hosts_idle_for(seconds("limits.conn-idle"));
@@ -195,15 +181,10 @@
     let (handle, commands) =
         core::start(settings, seed, &limits, clock.clone()).map_err(|e| format!("module: {e}"))?;
 
-    if let Some(path) = &operator.inventory {
-        let (hosts, changed) = file::inventory(path, &operator.zones, &limits)?;
-        shared.change(|s| view::take_inventory(s, &hosts, changed, clock.now()));
-    }
     {
         let (operator, shared, limits) = (operator.clone(), shared.clone(), limits.clone());
-        let clock = clock.clone();
         let task = async move {
-            if let Err(e) = reload(&operator, &shared, &clock, &limits).await {
+            if let Err(e) = reload(&operator, &shared, &limits).await {
                 log::error!("the inventory is not watched: {e}");
             }
         };
@@ -212,7 +193,7 @@
     let (listed, ready) = async_channel::bounded::<()>(1);
     {
         let (shared, handle) = (shared.clone(), handle.clone());
-        executor.spawn(async move { follow(&shared, &handle, listed).await }).detach();
+        executor.spawn(async move { follow(&shared, &handle, listed, text).await }).detach();
     }
     let hosts =
         Hosts::new(Sparql::new(limits.clone(), operator.host_path.clone(), fields), limits.clone(), clock);
--- a/src/json.rs
+++ b/src/json.rs
@@ -158,14 +158,35 @@
     line
 }
 
-/// Reads the platform's configuration; errors name the line or the value.
-pub fn platform(text: &str) -> Result<Platform, String> {
-    if json::from_str::<Value>(text).is_err() {
-        return Err(format!("line {}: not JSON", broken_line(text)));
+/// The line where a value stands: the first that has both its key and its text, else the first with the key.
+fn line_of(text: &str, key: &str, value: &str) -> usize {
+    let quoted = format!("\"{key}\"");
+    let with = |value: &str| text.lines().position(|l| l.contains(&quoted) && l.contains(value));
+    with(value).or_else(|| with("")).map_or(text.lines().count().max(1), |n| n + 1)
+}
+
+/// What keeps a configuration from being read, though it is JSON: the first value that is always stated and
+/// is missing or of another kind.
+fn lacking(text: &str, config: &Value) -> String {
+    let Value::Object(object) = config else { return "line 1: no object".into() };
+    for key in ["name", "listen", "discovery"] {
+        match object.get(key) {
+            Some(Value::String(_)) => {}
+            Some(_) => return format!("line {}: {key} is no text", line_of(text, key, "")),
+            None => return format!("line {}: there is no {key}", line_of(text, key, "")),
+        }
     }
-    let raw: RawConfig = json::from_str(text).map_err(|_| {
-        "line 1: a value that the platform always states is missing or of another kind".to_string()
-    })?;
+    match object.get("settings") {
+        None => format!("line {}: there are no settings", line_of(text, "settings", "")),
+        Some(_) => "line 1: limits, peers or known are out of form".into(),
+    }
+}
+
+/// Reads the platform's configuration; errors name the line.
+pub fn platform(text: &str) -> Result<Platform, String> {
+    let config: Value = json::from_str(text).map_err(|_| format!("line {}: not JSON", broken_line(text)))?;
+    let raw: RawConfig = json::from_str(text).map_err(|_| lacking(text, &config))?;
+    let at = |key: &str, value: &str, e: String| format!("line {}: {e}", line_of(text, key, value));
     let mut flat = BTreeMap::new();
     flatten("", &raw.settings, &mut flat);
     let pairs: BTreeMap<&str, &str> = flat.iter().map(|(k, v)| (k.as_str(), v.as_str())).collect();
@@ -176,22 +197,75 @@
     let zones = names("zones");
     let classes = (0..).map_while(|n| flat.get(&format!("services.{n}.name")).cloned()).collect();
     let conn_idle = pairs.get("limits.conn-idle").and_then(|v| v.parse().ok());
+    let settings = settings::read(pairs).map_err(|e| {
+        // The reader names a path and its value; the path's last part is the key in the text.
+        let stated = e.split_once(": ").map_or("", |(_, rest)| rest.split(' ').next().unwrap_or(""));
+        let (path, value) = stated.split_once('=').unwrap_or((stated, ""));
+        at(path.rsplit('.').next().unwrap_or(path), value, e.clone())
+    })?;
     // Positions on sockets are Unix times on every machine's one clock.
-    let settings = Settings { zero: Some(0), ..settings::read(pairs)? };
+    let settings = Settings { zero: Some(0), ..settings };
+    let place = |key: &str, value: &str| address(value, key).map_err(|e| at(key, value, e));
     Ok(Platform {
+        listen: place("listen", &raw.listen)?,
+        discovery: place("discovery", &raw.discovery)?,
         name: raw.name,
-        listen: address(&raw.listen, "listen")?,
-        discovery: address(&raw.discovery, "discovery")?,
         seed: raw.seed.and_then(|s| u64::from_str_radix(&s, 16).ok()).unwrap_or(0),
         sockets: raw.limits.as_ref().and_then(|l| l.sockets).map(|n| n as usize),
         memory_mb: raw.limits.as_ref().and_then(|l| l.memory_mb),
-        peer_listen: raw.peer_listen.map(|a| address(&a, "peer_listen")).transpose()?,
-        peers: raw.peers.unwrap_or_default().iter().map(|a| address(a, "peers")).collect::<Result<_, _>>()?,
-        peers_all: raw.peers_all.map(|a| address(&a, "peers_all")).transpose()?,
-        known: raw.known.map(|k| listing(k, &zones)).transpose()?,
+        peer_listen: raw.peer_listen.map(|a| place("peer_listen", &a)).transpose()?,
+        peers: raw.peers.unwrap_or_default().iter().map(|a| place("peers", a)).collect::<Result<_, _>>()?,
+        peers_all: raw.peers_all.map(|a| place("peers_all", &a)).transpose()?,
+        known: raw.known.map(|k| listing(k, &zones).map_err(|e| at("known", "", e))).transpose()?,
         settings,
         classes,
         zones,
         conn_idle,
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const CONFIG: &str = "{\"name\":\"n3\",\n\"listen\":\"127.0.0.1:1\",\n\"discovery\":\"127.0.0.1:2\",\n\
+        \"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\n\
+        \"known\":{\"index\":41,\"snapshot\":true,\"endpoints\":[{\"name\":\"s-1\",\"address\":\"127.0.0.1:3\",\n\
+        \"zone\":\"b\",\"type\":\"m\",\"group\":3,\"status\":\"leaving\",\"weight\":1,\"since_ms\":1767225600123}]},\n\
+        \"settings\":{\"zones\":[\"a\",\"b\"],\"services\":[{\"name\":\"read\",\"target\":0.5,\"repeat\":\"repeatable\"}],\n\
+        \"family-info\":{\"consistency\":[\"lag_bound\"],\"max-age\":[0.8],\"zero\":471811.9},\n\
+        \"limits\":{\"conn-idle\":15,\"probes\":false},\"more\":null}}";
+
+    #[test]
+    fn a_configuration_is_read_with_positions_from_the_unix_epoch() {
+        let p = platform(CONFIG).unwrap();
+        assert_eq!((p.classes, p.conn_idle, p.sockets), (vec!["read".to_string()], Some(15.0), Some(1024)));
+        assert_eq!(
+            (p.seed, p.settings.zero, p.settings.probes),
+            (0x8c1f_30d2_7a5b_e964, Some(0), Some(false))
+        );
+        assert_eq!(
+            (p.settings.classes[0].max_age, p.settings.classes[0].aim),
+            (Some(800_000), Some(500_000))
+        );
+        let host = &p.known.unwrap().entries[0];
+        assert_eq!((host.zone, host.group, host.availability), (1, 3, Availability::Draining));
+        assert_eq!(host.started_at, Some(1_767_225_600_123_000));
+    }
+
+    #[test]
+    fn a_fault_names_its_line() {
+        for (from, to, wanted) in [
+            ("\"listen\":\"127.0.0.1:1\"", "\"listen\":\"here\"", "line 2: listen"),
+            ("\"discovery\":\"127.0.0.1:2\"", "\"discovery\":7", "line 3: discovery is no text"),
+            ("\"leaving\"", "\"lost\"", "line 5: endpoint s-1"),
+            ("\"target\":0.5", "\"target\":\"soon\"", "line 7: settings: services.0.target"),
+            ("\"probes\":false", "\"probes\":false]", "line 9: not JSON"),
+        ] {
+            let error = platform(&CONFIG.replace(from, to)).map(|p| p.name).unwrap_err();
+            assert!(error.starts_with(wanted), "{to}: {error}");
+        }
+        let error = platform("{\"name\":\"n\"}").map(|p| p.name).unwrap_err();
+        assert_eq!(error, "line 1: there is no listen");
+    }
+}
--- a/src/net/http/codec.rs
+++ b/src/net/http/codec.rs
@@ -68,7 +68,8 @@
     let mut parts = lines.next().unwrap_or("").splitn(3, ' ');
     let mut part = || parts.next().unwrap_or("").to_string();
     let line = [part(), part(), part()];
-    if line[0].is_empty() || line[1].is_empty() {
+    // A target passes on to hosts as it is: a bare line feed in it would begin a header of the client's own.
+    if line[..2].iter().any(|part| part.is_empty() || !part.bytes().all(|b| b.is_ascii_graphic())) {
         return Err(Malformed::Form("the start line is out of form"));
     }
     let mut headers = Vec::new();
@@ -215,6 +216,16 @@
         assert_eq!(body(cut, 100), Ok((b"hello".to_vec(), false)));
     }
 
+    /// Guards against headers that a client smuggles into the request to a host.
+    #[test]
+    fn a_target_with_a_line_feed_is_refused() {
+        for text in
+            ["GET /a\nX: y HTTP/1.1\r\n\r\n", "GET /a\rX: y HTTP/1.1\r\n\r\n", "GET  HTTP/1.1\r\n\r\n"]
+        {
+            assert!(head(text.as_bytes(), &Limits::for_sockets(64)).is_err(), "{text:?}");
+        }
+    }
+
     /// Guards against smuggled requests: a message with two framings is refused.
     #[test]
     fn two_framings_are_refused() {
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -89,7 +89,8 @@
     fn seat(self: &Rc<Seats>) -> Option<(Place, Welcome)> {
         let (sender, end) = async_channel::bounded(1);
         if self.taken() >= self.limits.clients && !self.make_room() {
-            if self.turned_away.get() >= self.limits.turned_away {
+            // A connection that took an idle one's place before that had ended holds a share of these too.
+            if self.taken() + self.turned_away.get() >= self.limits.clients + self.limits.turned_away {
                 return None;
             }
             self.turned_away.set(self.turned_away.get() + 1);
@@ -163,3 +164,37 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a front that runs out of descriptors, and against clients that are shut out by idle ones.
+    #[test]
+    fn the_longest_idle_makes_room_and_the_rest_are_told() {
+        let limits = Limits { clients: 2, turned_away: 1, ..Limits::for_sockets(64) };
+        let seats = Seats::new(Rc::new(limits));
+        let take = || seats.seat().map(|(place, welcome)| (place, welcome == Welcome::Served));
+        let (first, second) = (take().unwrap(), take().unwrap());
+        assert!(first.1 && second.1);
+        let turned_away = take().unwrap();
+        assert!(!turned_away.1, "none is idle");
+        assert!(take().is_none(), "nor is there room to say so");
+        drop(turned_away);
+        second.0.idle(true);
+        let third = take().unwrap();
+        assert!(third.1 && second.0.ends() && !first.0.ends());
+        assert!(take().is_none(), "the idle one has not ended yet");
+        drop(second);
+        assert_eq!(seats.taken(), 2);
+    }
+
+    #[test]
+    fn the_limits_add_up_to_what_the_process_may_hold() {
+        for sockets in [64, 256, 1024, 20_000] {
+            let l = Limits::for_sockets(sockets);
+            assert!(l.clients + l.turned_away + l.hosts < sockets, "{sockets}");
+            assert!(l.clients > 0 && l.turned_away > 0 && l.hosts > 0, "{sockets}");
+        }
+    }
+}
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -53,3 +53,40 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use async_channel::unbounded;
+    use futures_lite::future;
+
+    /// Guards against datagrams that void a run, and against strangers that pass for peers.
+    #[test]
+    fn long_datagrams_are_not_sent_and_strangers_are_not_heard() {
+        let bind = || UdpSocket::bind("127.0.0.1:0").unwrap();
+        let (peer, stranger) = (bind(), bind());
+        let limits = Limits::for_sockets(64);
+        let each = vec![peer.local_addr().unwrap()];
+        let own = Peers::open(([127, 0, 0, 1], 0).into(), each, None, &limits).unwrap();
+        let at = own.socket.get_ref().local_addr().unwrap();
+        async_io::block_on(async {
+            own.tell(Some(0), &[7; 257]).await;
+            own.tell(None, b"nobody").await;
+            own.tell(Some(0), &[7; 256]).await;
+        });
+        let mut bytes = [0; 512];
+        assert_eq!(peer.recv(&mut bytes).unwrap(), 256, "the longer one never left");
+        stranger.send_to(b"x", at).unwrap();
+        peer.send_to(b"y", at).unwrap();
+        let (heard, messages) = unbounded();
+        let listen = own.listen(|from, bytes| {
+            let heard = heard.clone();
+            async move { heard.send((from, bytes)).await.unwrap() }
+        });
+        let first = async_io::block_on(future::or(async { Some(messages.recv().await.unwrap()) }, async {
+            listen.await;
+            None
+        }));
+        assert_eq!(first, Some((0, b"y".to_vec())));
+    }
+}
--- a/src/net/sparql/front.rs
+++ b/src/net/sparql/front.rs
@@ -2,7 +2,7 @@
 
 use super::host::{Answer, Content};
 use super::operation::{self, Operation, Refusal};
-use super::{CLASS, COME_BACK, GROUP};
+use super::{CLASS, COME_BACK, GROUP, POSITION};
 use crate::config::Limits;
 use crate::core::classes::Classes;
 use crate::core::{Final, Handle, Input};
@@ -48,6 +48,14 @@
     pub ready: Receiver<()>,
 }
 
+/// What becomes of a connection after an answer.
+enum After {
+    Open,
+    Close,
+    /// It ends in the midst of things.
+    Cut,
+}
+
 fn refusal(retry_in: Option<Micros>, text: &str) -> Vec<u8> {
     let ms = retry_in.unwrap_or(1_000_000).max(0) / 1000;
     // The standard header counts in seconds: rounded up, so that nobody comes too early by it.
@@ -77,18 +85,18 @@
                     break;
                 }
                 Next::Request(request) => match self.request(&mut link, &mut buffer, &request).await {
-                    Ok(true) if request.keeps_open() && !(link.ends() && buffer.unread().is_empty()) => {}
-                    Ok(true) => break,
-                    // Cut off without an end: the client must see that what it has is not whole.
-                    Ok(false) | Err(_) => return,
+                    Ok(After::Open) if !(link.ends() && buffer.unread().is_empty()) => {}
+                    Ok(After::Open | After::Close) => break,
+                    // Without an end: the client must see that what it has is not whole.
+                    Ok(After::Cut) | Err(_) => return,
                 },
             }
         }
         let _ = link.linger().await;
     }
 
-    /// Answers one request. False: the connection cannot be used any more.
-    async fn request(&self, link: &mut Link, buffer: &mut Buffer, request: &Request) -> io::Result<bool> {
+    /// Answers one request.
+    async fn request(&self, link: &mut Link, buffer: &mut Buffer, request: &Request) -> io::Result<After> {
         let (path, _) = request.target();
         let ends = !request.keeps_open() || link.ends();
         if path == "/-/ready" {
@@ -121,10 +129,10 @@
         };
         let Some(last) = future::or(last, gone).await else {
             self.handle.input(Input::Lapsed(id)).await;
-            return Ok(false);
+            return Ok(After::Cut);
         };
         let written = self.answer(link, request, last).await;
-        if !matches!(written, Ok(true)) {
+        if !matches!(written, Ok(After::Open | After::Close)) {
             // Whatever is still on its way for this client ends now.
             self.handle.input(Input::Lapsed(id)).await;
         }
@@ -141,6 +149,10 @@
         if operation.update && !self.classes.writes(name) {
             return Err(Refusal(400, format!("{CLASS}: {name:?} is no class for updates")));
         }
+        // A class with a bound looks at its bound alone: the client would take an older answer for a newer one.
+        if operation.position.is_some() && !self.classes.sees_positions(name) {
+            return Err(Refusal(400, format!("{POSITION}: {name:?} is no class that looks at positions")));
+        }
         let group = operation.group.or(s.group);
         let group =
             group.ok_or_else(|| Refusal(400, format!("{GROUP} names no group, and there is no default")))?;
@@ -152,8 +164,8 @@
         Ok((Ask { class, group, token_age, session, ..Ask::default() }, patience, operation))
     }
 
-    /// Writes the final answer. False: it was cut short.
-    async fn answer(&self, link: &mut Link, request: &Request, last: Final<Answer>) -> io::Result<bool> {
+    /// Writes the final answer.
+    async fn answer(&self, link: &mut Link, request: &Request, last: Final<Answer>) -> io::Result<After> {
         let bytes = match last {
             Final::Served(answer) => return serve(link, request, answer).await,
             Final::Refused { overdue: true, .. } | Final::Failed { overdue: true } => {
@@ -168,11 +180,12 @@
 }
 
 /// Writes a whole answer, and with it whether the connection ends.
-async fn reply(link: &mut Link, ends: bool, answer: Vec<u8>) -> io::Result<bool> {
-    link.write(&server::with_end(answer, ends)).await.map(|()| true)
+async fn reply(link: &mut Link, ends: bool, answer: Vec<u8>) -> io::Result<After> {
+    link.write(&server::with_end(answer, ends)).await?;
+    Ok(if ends { After::Close } else { After::Open })
 }
 
-async fn serve(link: &mut Link, request: &Request, answer: Answer) -> io::Result<bool> {
+async fn serve(link: &mut Link, request: &Request, answer: Answer) -> io::Result<After> {
     let Answer { status, headers, content } = answer;
     let mut headers: Vec<(&str, &str)> = headers.iter().map(|(n, v)| (n.as_str(), v.as_str())).collect();
     match content {
@@ -188,14 +201,15 @@
         Content::Parts(_) if request.head.line[2] != "HTTP/1.1" => {
             // Without chunks the end of the connection would be the end of the answer, cut short or not.
             reply(link, true, server::answer(502, &[], "the answer is too long for HTTP/1.0")).await?;
-            Ok(false)
+            Ok(After::Cut)
         }
         Content::Parts(parts) => {
             headers.push(("Transfer-Encoding", "chunked"));
             link.write(&server::answer_head(status, &headers)).await?;
             while let Ok(part) = parts.recv().await {
                 if part.is_empty() {
-                    return link.write(b"0\r\n\r\n").await.map(|()| true);
+                    link.write(b"0\r\n\r\n").await?;
+                    return Ok(if request.keeps_open() { After::Open } else { After::Close });
                 }
                 let mut chunk = format!("{:x}\r\n", part.len()).into_bytes();
                 chunk.extend_from_slice(&part);
@@ -203,7 +217,7 @@
                 link.write(&chunk).await?;
             }
             log::warn!("a host broke off in the midst of an answer");
-            Ok(false)
+            Ok(After::Cut)
         }
     }
 }
--- a/src/store/sync.rs
+++ b/src/store/sync.rs
@@ -1,6 +1,8 @@
 //! Anti-entropy between daemons, and the operator's commands: HTTP on loopback.
 
+use super::view::Files;
 use super::{Store, parse, view};
+use crate::clock::Clock;
 use crate::config::Limits;
 use crate::net::buffer::Buffer;
 use crate::net::http::client::Client;
@@ -23,6 +25,8 @@
     peers: Vec<SocketAddr>,
     heard: RefCell<BTreeSet<SocketAddr>>,
     limits: Limits,
+    clock: Clock,
+    files: RefCell<Files>,
     /// Wakes whoever acts on changes, and each peer's exchange.
     wake: Vec<(Sender<()>, Receiver<()>)>,
     told: Cell<u64>,
@@ -30,10 +34,11 @@
 
 impl Shared {
     /// Shares a store with these peers.
-    pub fn new(store: Store, peers: Vec<SocketAddr>, limits: Limits) -> Shared {
+    pub fn new(store: Store, peers: Vec<SocketAddr>, limits: Limits, clock: Clock) -> Shared {
         let wake = (0..=peers.len()).map(|_| async_channel::bounded(1)).collect();
         let (heard, told) = (RefCell::default(), Cell::new(0));
-        Shared { store: RefCell::new(store), peers, heard, limits, wake, told }
+        let (store, files) = (RefCell::new(store), RefCell::default());
+        Shared { store, peers, heard, limits, clock, files, wake, told }
     }
 
     /// Looks at the store.
@@ -54,6 +59,12 @@
         done
     }
 
+    /// Notes what the daemon's own files say now, and takes it into the store.
+    pub fn read_files(&self, note: impl FnOnce(&mut Files)) {
+        note(&mut self.files.borrow_mut());
+        self.change(|s| view::take_files(s, &self.files.borrow(), self.clock.now()));
+    }
+
     /// Comes back when the store has changed since the last time.
     pub async fn changed(&self) {
         let _ = self.wake[0].1.recv().await;
@@ -72,9 +83,11 @@
         }
         log::info!("store: caught up");
         self.change(|s| {
-            // What a file said before anything was known of the others is read again; drains stay.
+            // What the files said before anything was known of the others counts only if it is newer than
+            // what they have; drains stay. In one step, so that no list without hosts is ever seen.
             s.forget_pending(|key| !view::is_drain(key));
             s.caught_up();
+            view::take_files(s, &self.files.borrow(), self.clock.now());
         });
     }
 
@@ -193,3 +206,67 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::core::members::Listed;
+    use crate::interface::Availability;
+
+    fn hosts(names: &[&str]) -> Vec<Listed> {
+        let one = |name: &&str| Listed {
+            name: name.to_string(),
+            address: ([127, 0, 0, 1], 1).into(),
+            zone: 0,
+            group: 1,
+            availability: Availability::Ready,
+            primary: false,
+            weight: 1.0,
+            started_at: None,
+        };
+        names.iter().map(one).collect()
+    }
+
+    fn names(shared: &Shared) -> Vec<String> {
+        shared.read(|s| view::listing(s).entries.into_iter().map(|e| e.name).collect())
+    }
+
+    /// A daemon with a file that was last changed at `changed`, before it has caught up.
+    fn fresh(changed: i64) -> Shared {
+        let peers = vec![([127, 0, 0, 1], 9).into()];
+        let store = Store::new("b.1".into(), false);
+        let shared = Shared::new(store, peers, Limits::for_sockets(64), Clock::start());
+        shared.read_files(|files| files.hosts = Some((hosts(&["mine"]), changed)));
+        assert_eq!(names(&shared), ["mine"], "it serves with what it has");
+        shared
+    }
+
+    /// Guards against a daemon that starts with an old file and takes back what was edited elsewhere, or that
+    /// sees a list without hosts while it catches up.
+    #[test]
+    fn catching_up_keeps_the_newer_of_two_files() {
+        let mut peer = Store::new("a.1".into(), true);
+        let theirs = Files { hosts: Some((hosts(&["theirs"]), 10)), settings: Some(("x=1\n".into(), 10)) };
+        view::take_files(&mut peer, &theirs, 1);
+        for (changed, wanted) in [(5, "theirs"), (15, "mine")] {
+            let shared = fresh(changed);
+            shared.take(&peer.text()).unwrap();
+            shared.catch_up();
+            assert_eq!(names(&shared), [wanted], "own file changed at {changed}");
+            assert_eq!(shared.read(|s| s.get(view::SETTINGS).map(str::to_string)), Some("x=1\n".into()));
+        }
+        let shared = fresh(5);
+        shared.catch_up();
+        assert_eq!(names(&shared), ["mine"], "a peer that knows nothing takes nothing away");
+    }
+
+    /// Guards against a peer whose text is out of form: nothing of it is taken.
+    #[test]
+    fn a_text_out_of_form_changes_nothing() {
+        let shared = fresh(5);
+        let mut peer = Store::new("a.1".into(), true);
+        view::take_files(&mut peer, &Files { hosts: Some((hosts(&["theirs"]), 10)), settings: None }, 1);
+        assert!(shared.take(&(peer.text() + "half a rec")).is_err());
+        assert_eq!(names(&shared), ["mine"]);
+    }
+}
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -13,7 +13,7 @@
 /// The settings of the service, as pairs.
 pub const SETTINGS: &str = "config/settings";
 /// When the file that the settings came from was last changed.
-pub const SETTINGS_FILE: &str = "config/changed";
+const SETTINGS_FILE: &str = "config/changed";
 
 fn line(host: &Listed) -> String {
     let Listed { address, zone, group, weight, started_at, .. } = host;
@@ -49,6 +49,28 @@
     Listing { index: store.version(), whole: true, entries: hosts.collect() }
 }
 
+/// What this daemon's own files say, each with when it was last changed.
+#[derive(Clone, Debug, Default)]
+pub struct Files {
+    /// The settings of the operator's file.
+    pub settings: Option<(String, Micros)>,
+    /// The hosts of the inventory.
+    pub hosts: Option<(Vec<Listed>, Micros)>,
+}
+
+/// Takes in what the files say, where the store has nothing newer.
+pub fn take_files(store: &mut Store, files: &Files, now: Micros) {
+    if let Some((settings, changed)) = &files.settings
+        && is_newer(store, SETTINGS_FILE, *changed)
+    {
+        store.put(SETTINGS, Some(settings.clone()));
+        store.put(SETTINGS_FILE, Some(changed.to_string()));
+    }
+    if let Some((hosts, changed)) = &files.hosts {
+        take_inventory(store, hosts, *changed, now);
+    }
+}
+
 /// Whether a key marks a drain.
 pub fn is_drain(key: &str) -> bool {
     key.starts_with(DRAIN)
@@ -61,13 +83,13 @@
 }
 
 /// Whether a file that was changed at `changed` is newer than what the store has.
-pub fn is_newer(store: &Store, key: &str, changed: Micros) -> bool {
+fn is_newer(store: &Store, key: &str, changed: Micros) -> bool {
     store.get(key).and_then(|v| v.parse::<Micros>().ok()).is_none_or(|known| changed > known)
 }
 
 /// Takes in an inventory's hosts. One that is new to a list that is already in use starts cold, and so does
 /// one that has moved: nobody has seen what it bears.
-pub fn take_inventory(store: &mut Store, hosts: &[Listed], changed: Micros, now: Micros) {
+fn take_inventory(store: &mut Store, hosts: &[Listed], changed: Micros, now: Micros) {
     if !is_newer(store, FILE, changed) {
         return;
     }
--- a/tests/sparql.rs
+++ b/tests/sparql.rs
@@ -276,6 +276,7 @@
         ("DELETE /sparql HTTP/1.1\r\n\r\n".into(), 405),
         (query("Brookpass-Class: none\r\n"), 400),
         (update("Brookpass-Class: catalog-read\r\n"), 400),
+        (query("Brookpass-Class: catalog-read\r\nBrookpass-Position: 5\r\n"), 400),
         (query("Brookpass-Group: 9\r\n"), 404),
         ("POST /sparql HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n".into(), 413),
         (format!("GET /sparql?query={} HTTP/1.1\r\n\r\n", "x".repeat(40_000)), 431),
@@ -400,6 +401,21 @@
     eventually("a later word wins everywhere", || !leaves(a.store) && !leaves(b.store));
 }
 
+/// Configuration is kept in the store: a daemon that states none has its peers'.
+#[test]
+fn settings_and_hosts_come_from_a_peer_where_the_file_has_none() {
+    let host = Host::plain(true, 0);
+    let a = start(&files("giver", &[("one", host.address)], &[]));
+    let folder = files("taker", &[("one", nobody())], &[a.store]);
+    let file = folder.join("operator.yaml");
+    let text = std::fs::read_to_string(&file).unwrap();
+    let bare = text.split("\nsettings:").next().unwrap().replace("inventory: hosts.csv\n", "");
+    std::fs::write(&file, bare + "\n").unwrap();
+    let b = start(&folder);
+    assert_eq!(call(b.front, &query("")).status(), 200);
+    assert_eq!(host.count(), 1);
+}
+
 /// Guards against a half-written inventory that takes hosts away, and against a daemon that starts with one.
 #[test]
 fn an_inventory_is_reloaded_whole_or_not_at_all() {
@@ -425,6 +441,31 @@
     assert!(now_ms() - since[1] < 60_000, "one that is new to a running inventory starts cold: {text}");
 }
 
+/// Guards against a new host that is pushed over: until it is warm it gets what it bears for certain.
+#[test]
+fn a_host_new_to_a_running_inventory_is_spared() {
+    let (primary, old, new) = (Host::plain(true, 0), Host::plain(false, 0), Host::plain(false, 0));
+    let folder = files("cold", &[("p", primary.address), ("old", old.address)], &[]);
+    let file = folder.join("operator.yaml");
+    let text = std::fs::read_to_string(&file).unwrap();
+    let strict =
+        text.replace("cold-share: 0.25", "cold-share: 0.05").replace("fall-multiple: 4", "fall-multiple: 1");
+    std::fs::write(&file, strict).unwrap();
+    let running = start(&folder);
+    let mut client = HttpClient::connect(running.front);
+    let mut ask = |times: usize| (0..times).for_each(|_| assert_eq!(client.call(&query("")).status(), 200));
+    ask(100);
+    let hosts = [("p", primary.address), ("old", old.address), ("new", new.address)];
+    std::fs::write(folder.join("hosts.csv"), inventory(&hosts)).unwrap();
+    eventually("the new host is listed", || {
+        call(running.store, "GET /hosts HTTP/1.1\r\n\r\n").text().contains("new ")
+    });
+    let before = old.count();
+    ask(100);
+    let (old, new) = (old.count() - before, new.count());
+    assert!(new * 4 < old, "the cold host got {new} of {}, the warm one {old}", new + old);
+}
+
 /// Guards against a restart that forgets drains where there is a disk but no peer.
 #[test]
 fn a_snapshot_brings_the_store_back() {
@@ -468,6 +509,15 @@
     std::fs::write(folder.join("hosts.csv"), "name,address,group\none,127.0.0.1:1,1\none,127.0.0.1:2,1\n")
         .unwrap();
     starts("hosts.csv: line 3: host \"one\" stands twice");
+    let check = || {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_brookpass"));
+        command.args(["--check", file.to_str().unwrap()]).output().unwrap()
+    };
+    assert!(!check().status.success());
+    std::fs::write(folder.join("hosts.csv"), inventory(&[("one", nobody())])).unwrap();
+    let checked = check();
+    assert!(checked.status.success());
+    assert!(String::from_utf8_lossy(&checked.stdout).contains("in order, 1 hosts"));
     std::fs::remove_file(folder.join("hosts.csv")).unwrap();
     starts("hosts.csv");
 }
