--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -180,6 +180,8 @@
     let mut both = list("leaving");
     both.push(endpoint(&second, p.address, 1, "active"));
     s.discovery.publish(&both);
+    // Commands are carried out in order: once a later request is answered, the list has reached the attempt.
+    assert_eq!(PgClient::connect(s.address).ask(&read("2", 1000)).value.as_deref(), Some(&b"x"[..]));
     up.send(()).unwrap();
     assert_eq!(waits.recv_timeout(PATIENCE), Ok("the end"), "nothing goes to a host that drains");
     assert_eq!(client.answer().unwrap().value.as_deref(), Some(&b"x"[..]));
