Read the configuration anew at SIGHUP and move discovery to its new address

Cause: src/daemon/platform.rs registered no handler for SIGHUP, whose default ends a process (128 + 1). Only the operator's daemon had one, and that only after it had caught up with its peers.

Change: the handler is the first thing that serve sets up, on both sides. On the platform the file is read whole; discovery's watch takes its address from a cell, and a call or a pause that is under way is dropped for the new one. A file that is out of form is refused and logged. Open requests are not touched. The test sighup_moves_discovery_at_once_and_leaves_open_requests_alone ends with a dead daemon without the change.

--- a/src/daemon/operator.rs
+++ b/src/daemon/operator.rs
@@ -15,7 +15,8 @@
 use crate::store::sync::Shared;
 use crate::store::view::Files;
 use crate::store::{Store, snapshot, view};
-use async_io::Timer;
+use async_io::{Async, Timer};
+use std::os::unix::net::UnixStream;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
@@ -33,8 +34,7 @@
 
 /// Reads the inventory whenever its file changes, and on SIGHUP. One that is out of form is refused whole:
 /// what was last good stays.
-async fn reload(operator: &Operator, shared: &Shared, limits: &Limits) -> Result<(), String> {
-    let mut hangup = signal(signal_hook::consts::SIGHUP)?;
+async fn reload(mut hangup: Async<UnixStream>, operator: &Operator, shared: &Shared, limits: &Limits) {
     // What was read at the start is read once more: the file may have changed since.
     let mut seen = None;
     loop {
@@ -108,6 +108,8 @@
 
 /// Serves until SIGTERM.
 pub async fn serve(operator: Operator, executor: Executor) -> Result<(), String> {
+    // First of all: without a handler this signal would end the program, which may wait for a peer below.
+    let hangup = signal(signal_hook::consts::SIGHUP)?;
     let clock = Clock::start();
     let mut limits = Limits::for_sockets(operator.sockets);
     let mut files = Files { settings: operator.settings.clone().map(|s| (s, operator.changed)), hosts: None };
@@ -184,9 +186,7 @@
     {
         let (operator, shared, limits) = (operator.clone(), shared.clone(), limits.clone());
         let task = async move {
-            if let Err(e) = reload(&operator, &shared, &limits).await {
-                log::error!("the inventory is not watched: {e}");
-            }
+            reload(hangup, &operator, &shared, &limits).await;
         };
         executor.spawn(task).detach();
     }
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -1,6 +1,6 @@
 //! On the platform: the PostgreSQL front, with what `GW_CONFIG` names. The SPARQL front is off here.
 
-use super::{Executor, accept, carry, until_drained};
+use super::{Executor, accept, carry, signal, signalled, until_drained};
 use crate::clock::Clock;
 use crate::config::Limits;
 use crate::core::classes::Classes;
@@ -11,9 +11,13 @@
 use crate::net::peers::Peers;
 use crate::net::pg::front::Front;
 use crate::net::pg::host::Pg;
-use crate::net::{discovery, listen};
+use crate::net::{discovery as watcher, listen};
 use crate::store::{Store, view};
-use std::cell::RefCell;
+use async_channel::Sender;
+use async_io::Async;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -32,8 +36,28 @@
     limits
 }
 
-/// Serves until SIGTERM.
-pub async fn serve(platform: Platform, executor: Executor) -> Result<(), String> {
+/// Reads the configuration anew at each SIGHUP. Discovery moves to the address that it names, at once and
+/// without touching what is open; what else has changed counts from the next start. One that is out of form
+/// is refused whole: what was last good stays.
+async fn reload(path: &str, mut hangup: Async<UnixStream>, discovery: &Cell<SocketAddr>, fetch: &Sender<()>) {
+    loop {
+        signalled(&mut hangup).await;
+        match load(path) {
+            Ok(new) => {
+                log::info!("SIGHUP: discovery at {} (before: {})", new.discovery, discovery.get());
+                discovery.set(new.discovery);
+                // A message that still waits to be heard will do: the address is read after it.
+                let _ = fetch.try_send(());
+            }
+            Err(e) => log::error!("SIGHUP: {e}; the last good configuration stays"),
+        }
+    }
+}
+
+/// Serves until SIGTERM; `path` is the file that `platform` was read from.
+pub async fn serve(path: String, platform: Platform, executor: Executor) -> Result<(), String> {
+    // First of all: without a handler this signal would end the program.
+    let hangup = signal(signal_hook::consts::SIGHUP)?;
     let limits = Rc::new(limits(&platform));
     let clock = Clock::start();
     let mut settings = platform.settings;
@@ -61,10 +85,15 @@
     log::info!("{}: clients at {at}, discovery at {}", platform.name, platform.discovery);
 
     let (fetch, asked) = async_channel::bounded(1);
+    let discovery = Rc::new(Cell::new(platform.discovery));
+    {
+        let (discovery, fetch) = (discovery.clone(), fetch.clone());
+        executor.spawn(async move { reload(&path, hangup, &discovery, &fetch).await }).detach();
+    }
     let (listed, ready) = async_channel::bounded::<()>(1);
     {
         let (limits, handle) = (limits.clone(), handle.clone());
-        let (address, zones) = (platform.discovery, platform.zones);
+        let zones = platform.zones;
         let task = async move {
             let deliver = |list: Listing| {
                 let (handle, listed, store) = (&handle, &listed, &store);
@@ -75,7 +104,7 @@
                     listed.close();
                 }
             };
-            discovery::watch(address, &zones, &limits, &asked, deliver).await;
+            watcher::watch(&discovery, &zones, &limits, &asked, deliver).await;
         };
         executor.spawn(task).detach();
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -28,7 +28,7 @@
         [] => {
             let path = std::env::var("GW_CONFIG").map_err(|_| USAGE.to_string())?;
             let config = platform::load(&path)?;
-            daemon::run(|executor| platform::serve(config, executor))
+            daemon::run(|executor| platform::serve(path, config, executor))
         }
         ["--operator", path] => {
             let config = file::load(path.as_ref())?;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -6,8 +6,8 @@
 use crate::core::members::Listing;
 use crate::json;
 use async_channel::Receiver;
-use async_io::Timer;
 use futures_lite::future;
+use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -40,14 +40,20 @@
     until(Instant::now() + time, work).await.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
 }
 
-/// Watches for ever. `deliver` takes each list; a message on `fetch` asks for the whole list anew.
+/// Watches for ever. `deliver` takes each list; a message on `fetch` asks for the whole list anew, at the
+/// address that `address` then holds. Neither a call nor a pause that is under way holds that up: the old
+/// address may say nothing any more.
 pub async fn watch<F: Future<Output = ()>>(
-    address: SocketAddr,
+    address: &Cell<SocketAddr>,
     zones: &[String],
     limits: &Limits,
     fetch: &Receiver<()>,
     deliver: impl Fn(Listing) -> F,
 ) {
+    let asked = async || match fetch.recv().await {
+        Ok(()) => Some(()),
+        Err(_) => future::pending().await,
+    };
     let mut kept = None;
     let mut index = None;
     let mut pause = limits.pause.0;
@@ -59,14 +65,8 @@
                 (format!("/api/targets?after={after}&wait_ms={wait}"), limits.watch + limits.discovery)
             }
         };
-        let answer = async { Some(call(&mut kept, address, &path, limits, time).await) };
-        let asked = async {
-            if fetch.recv().await.is_err() {
-                future::pending::<()>().await;
-            }
-            None
-        };
-        let Some(answer) = future::or(answer, asked).await else {
+        let answer = async { Some(call(&mut kept, address.get(), &path, limits, time).await) };
+        let Some(answer) = future::or(answer, async { asked().await.and(None) }).await else {
             // The call was dropped half-way: its connection cannot be used again.
             (kept, index) = (None, None);
             continue;
@@ -84,7 +84,9 @@
             Err(e) => {
                 log::warn!("discovery: {e}; the last list stays");
                 kept = None;
-                Timer::after(pause).await;
+                if until(Instant::now() + pause, asked()).await.is_some() {
+                    index = None;
+                }
                 pause = (pause * 2).min(limits.pause.1);
             }
         }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -5,6 +5,7 @@
 use stand_in::*;
 use std::io::{Read, Write};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
@@ -19,6 +20,7 @@
  "report":{"via":"answers","fields":["x0","x1","util"]}}"#;
 
 struct Setup {
+    config: PathBuf,
     daemon: Daemon,
     address: SocketAddr,
     discovery: Discovery,
@@ -39,7 +41,7 @@
     let mut daemon = Daemon::start(&[], &[("GW_CONFIG", path.to_str().unwrap())]);
     let address = daemon.address("clients at ");
     discovery.wait_for_watch();
-    Setup { daemon, address, discovery }
+    Setup { config: path, daemon, address, discovery }
 }
 
 fn read(id: &str, wait: u32) -> String {
@@ -276,6 +278,44 @@
     assert!(s.daemon.wait().success());
 }
 
+/// Guards against a reload that ends the program, waits for the old discovery, or costs an open request.
+#[test]
+fn sighup_moves_discovery_at_once_and_leaves_open_requests_alone() {
+    let (go, wait) = channel();
+    let wait = Arc::new(Mutex::new(wait));
+    let (p, r) = pair(move |text| match text.contains("INSERT") {
+        true => Reply::After(wait.clone(), b"late"),
+        false => Reply::Row(b"old"),
+    });
+    let other = PgHost::start("copy", |_| Reply::Row(b"new"));
+    let mut s = started(&both(&p, &r));
+    let mut client = PgClient::connect(s.address);
+    client.send(&pg_query(&write("1", 5_000, ",k=1")));
+    eventually("the primary has the write", || p.count() == 1);
+    let moved = Discovery::start();
+    moved.preset(&[endpoint("p", p.address, 1, "leaving"), endpoint("other", other.address, 1, "active")]);
+    std::fs::write(&s.config, config("127.0.0.1:0", moved.address, SETTINGS)).unwrap();
+    // The old discovery holds a watch open all the while and says nothing.
+    s.daemon.signal("-HUP");
+    s.daemon.line("SIGHUP: discovery at");
+    moved.wait_for_watch();
+    let mut second = PgClient::connect(s.address);
+    for n in 2..12 {
+        assert_eq!(second.ask(&read(&n.to_string(), 1000)).value.as_deref(), Some(&b"new"[..]));
+    }
+    std::fs::write(&s.config, "{\"name\":7}").unwrap();
+    s.daemon.signal("-HUP");
+    let line = s.daemon.line("the last good configuration stays");
+    assert!(line.contains("name is no text"), "{line}");
+    moved.publish(&[endpoint("other", other.address, 1, "active")]);
+    go.send(()).unwrap();
+    assert_eq!(client.answer().unwrap().value.as_deref(), Some(&b"late"[..]));
+    s.daemon.signal("-TERM");
+    s.daemon.signal("-HUP");
+    s.daemon.line("the last good configuration stays");
+    assert!(s.daemon.wait().success());
+}
+
 #[test]
 fn a_bad_configuration_is_one_line_with_file_and_line() {
     let path = folder("bad").join("config.json");
