Check every answer of a host for its form and refuse ids of open requests

A probe that logged each accepted statement and each host's reply showed: every accepted statement was well formed, 41 carried an id that was open already; replies begin with noise, have a DataRow of length 2 or 3 billion, lack a DataRow's head, or do not end a line. "Noise" was caught by length alone; the rest passed or was waited for. Faulty lines: Reply::take in src/net/pg/host.rs looked at kinds alone; exchange made every spoilt answer a Reset, for which the module leaves a host alone for 500 ms and more, primaries included; Front::query knew no open ids. Ruled out: load reports that cannot be read (dropped already), second copies in the same read (dropped already).

Change: src/net/pg/reply.rs reads a reply by stages with a longest length for each kind, the column's length against the row's; a spoilt one is an error that may have run. Positions ahead of the present are dropped in the core, for both fronts. A connection rests 1 ms, so that a second copy right behind an answer is seen first.

--- a/src/config.rs
+++ b/src/config.rs
@@ -49,6 +49,11 @@
     pub linger: Duration,
     /// A host that sends nothing for so long in the midst of an answer has broken off.
     pub stall: Duration,
+    /// A host that sends nothing for so long in the midst of an answer that is held back has spoilt it.
+    pub answer_stall: Duration,
+    /// What belongs to no answer comes right behind one: a connection rests for so long before it is used
+    /// again, so that it is seen.
+    pub settle: Duration,
     /// How long a client waits that does not say so.
     pub patience: Duration,
     /// Parts of a long answer that wait for the client.
@@ -78,6 +83,9 @@
 /// Descriptors kept for the listener, discovery, peers, the reactor and standard streams.
 const RESERVED: usize = 40;
 
+/// The longest value.
+const VALUE: usize = 64 * 1024;
+
 impl Limits {
     /// Limits for a process that may hold `sockets` descriptors.
     pub fn for_sockets(sockets: usize) -> Limits {
@@ -91,8 +99,9 @@
             requests: 4096,
             queue: 1024,
             startup_message: 10_000,
-            message: 128 * 1024,
-            answer: 256 * 1024,
+            // Values hold 64 KiB at the most; in a statement each byte takes two digits.
+            message: 2 * VALUE + 4 * 1024,
+            answer: VALUE + 10,
             head: 16 * 1024,
             headers: 100,
             list: 4 * 1024 * 1024,
@@ -107,6 +116,8 @@
             margin: Duration::from_millis(4),
             linger: Duration::from_millis(500),
             stall: Duration::from_secs(10),
+            answer_stall: Duration::from_millis(250),
+            settle: Duration::from_millis(1),
             patience: Duration::from_secs(30),
             parts: 4,
             file: 4 * 1024 * 1024,
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -12,6 +12,9 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
+/// Clocks of hosts may be ahead by this.
+const AHEAD: Micros = 1_000_000;
+
 struct Open<W, A> {
     work: W,
     reply: Sender<Final<A>>,
@@ -25,6 +28,13 @@
     sent: Micros,
 }
 
+/// What a host told about itself, unless it cannot be: none is ahead of the present, and a position that is
+/// would pass for fresh for ever.
+fn believed(now: Micros, mark: Option<Mark>) -> Option<Mark> {
+    let mark = mark.filter(|m| m.position <= now + AHEAD)?;
+    Some(Mark { position: mark.position.min(now), ..mark })
+}
+
 /// The module with all that belongs to its requests.
 pub struct Owner<W, A> {
     router: Router,
@@ -130,7 +140,7 @@
             }
             Input::Ended(ended) => self.ended(now, ended, commands),
             Input::Probed { member, took, report } => {
-                let (ok, report) = (report.is_some(), report.unwrap_or_default());
+                let (ok, report) = (report.is_some(), self.credible(now, report.unwrap_or_default()));
                 self.tell(now, Event::Probed { member, ok, took, report }, commands);
             }
             Input::Peer { from, bytes } => self.tell(now, Event::Peer { from, bytes }, commands),
@@ -165,6 +175,8 @@
 
     fn ended(&mut self, now: Micros, ended: Ended<A>, commands: &mut Vec<Command<W>>) {
         let Ended { id, attempt, outcome, mark, report, answer } = ended;
+        let mark = believed(now, mark);
+        let report = self.credible(now, report);
         let Some(flight) = self.out.remove(&(id, attempt)) else { return };
         let served = outcome == Outcome::Ok;
         if let Some(answer) = answer.filter(|_| served) {
@@ -185,6 +197,17 @@
         self.tell(now, Event::Settled(event), commands);
     }
 
+    /// A load report, or an empty one where its position cannot be.
+    fn credible(&self, now: Micros, report: Report) -> Report {
+        let n = self.settings.report_fields.iter().position(|f| f == "x0");
+        let zero = self.settings.zero.unwrap_or(0) as f64;
+        let ahead = |n: usize| zero + report.values[n] * 1e6 > (now + AHEAD) as f64 || report.values[n] < 0.0;
+        match n {
+            Some(n) if n < usize::from(report.count) && ahead(n) => Report::default(),
+            _ => report,
+        }
+    }
+
     fn finish(&mut self, id: RequestId, answer: Final<A>) {
         if let Some(open) = self.open.remove(&id) {
             self.deadlines.remove(&(open.deadline + self.overdue, id));
@@ -423,6 +446,21 @@
         assert_eq!(answer.try_recv(), Ok(Final::UnknownGroup));
     }
 
+    /// Guards against a position or a report out of this world: it would pass for fresh for ever.
+    #[test]
+    fn a_host_that_claims_to_be_ahead_of_the_present_is_not_believed() {
+        let (mut owner, _) = owner();
+        owner.settings.report_fields = vec!["x0".into()];
+        let report = |x0| Report { values: [x0; 4], count: 1 };
+        for (x0, believed) in [(4.5, 1), (7.0, 0), (f64::MAX, 0), (-1.0, 0)] {
+            assert_eq!(owner.credible(5_000_000, report(x0)).count, believed, "{x0}");
+        }
+        let told = |position| Some(Mark { primary: false, position });
+        assert_eq!(believed(5_000_000, told(4_000_000)), told(4_000_000));
+        assert_eq!(believed(5_000_000, told(5_000_001)), told(5_000_000), "a clock that is a little ahead");
+        assert_eq!(believed(5_000_000, told(Micros::MAX)), None);
+    }
+
     /// Guards against a fault of the module that would end the process and all that it has taken.
     #[test]
     fn a_module_that_panics_is_replaced_and_goes_on_from_the_list() {
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -125,7 +125,7 @@
         Command::FetchList => drop(fetch.try_send(())),
         _ => {}
     });
-    let front = Rc::new(Front { limits: limits.clone(), handle, classes, ready });
+    let front = Rc::new(Front { limits: limits.clone(), handle, classes, ready, open: Default::default() });
     let seats = listen::Seats::new(limits.clone());
     let accepting = accept(&executor, listener, &seats, move |stream, place, welcome| {
         let front = front.clone();
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -319,7 +319,13 @@
         let (address, epoch, gate) = {
             let mut all = self.known.borrow_mut();
             let known = all.get_mut(host).filter(|k| k.open).ok_or(Outcome::ConnectFailed)?;
-            while let Some((lease, since)) = known.idle.pop() {
+            // The one used last first, so that those that are not needed grow old and end.
+            for n in (0..known.idle.len()).rev() {
+                // A second copy of the last answer may be on its way: it must not pass for the next one.
+                if known.idle[n].1.elapsed() < self.limits.settle {
+                    continue;
+                }
+                let (lease, since) = known.idle.remove(n);
                 // The host closes idle connections: a request on one that it has closed may have run.
                 if since.elapsed() < self.limits.host_idle && self.wire.quiet(&lease.connection) {
                     return Ok(lease);
@@ -363,3 +369,53 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::net::TcpListener;
+
+    /// A protocol in which every connection is ready and quiet.
+    struct Plain;
+
+    impl Wire for Plain {
+        type Work = ();
+        type Answer = ();
+        type Connection = Async<TcpStream>;
+
+        async fn open(&self, stream: Async<TcpStream>) -> Result<Async<TcpStream>, Outcome> {
+            Ok(stream)
+        }
+
+        fn quiet(&self, _: &Async<TcpStream>) -> bool {
+            true
+        }
+
+        async fn exchange(&self, _: &mut Async<TcpStream>, _: &(), _: &Trip<'_, (), ()>) -> Exchange<()> {
+            Exchange::bare(Outcome::Error)
+        }
+    }
+
+    fn hosts(limits: Limits) -> (Rc<Hosts<Plain>>, TcpListener) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let hosts = Hosts::new(Plain, Rc::new(limits), Clock::start());
+        let address = listener.local_addr().unwrap();
+        hosts.host(Host { name: "a".into(), address, open: true, started_at: None });
+        (hosts, listener)
+    }
+
+    /// Guards against a second copy of an answer that comes right behind it and passes for the next one.
+    #[test]
+    fn a_connection_rests_before_it_is_used_again() {
+        for (settle, held) in [(std::time::Duration::from_secs(3600), 2), (std::time::Duration::ZERO, 1)] {
+            let (hosts, _listener) = hosts(Limits { settle, ..Limits::for_sockets(64) });
+            async_io::block_on(async {
+                let first = hosts.lease("a").await.ok().unwrap();
+                hosts.give_back("a", first);
+                let second = hosts.lease("a").await.ok().unwrap();
+                assert_eq!(hosts.connections(), held);
+                drop(second);
+            });
+        }
+    }
+}
--- a/src/net/pg/front.rs
+++ b/src/net/pg/front.rs
@@ -13,6 +13,8 @@
 use async_channel::Receiver;
 use async_io::Async;
 use futures_lite::future;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -29,6 +31,28 @@
     pub classes: Classes,
     /// Closed once the first list is there.
     pub ready: Receiver<()>,
+    /// Ids of the requests that are open.
+    pub open: OpenIds,
+}
+
+/// The ids of open requests. A host knows a request by its id: a second one of the same id would pass for
+/// another attempt of the first, and get its answer.
+#[derive(Clone, Default)]
+pub struct OpenIds(Rc<RefCell<BTreeSet<String>>>);
+
+/// An id as long as its request is open.
+struct OpenId(OpenIds, String);
+
+impl OpenIds {
+    fn take(&self, id: &str) -> Option<OpenId> {
+        self.0.borrow_mut().insert(id.to_string()).then(|| OpenId(self.clone(), id.to_string()))
+    }
+}
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        self.0.0.borrow_mut().remove(&self.1);
+    }
 }
 
 struct Client<'a> {
@@ -152,6 +176,10 @@
             log::warn!("client: unknown class {:?}", statement.class);
             return Ok(Some(failure("22023", "unknown class")));
         };
+        let Some(_open) = self.front.open.take(&statement.id) else {
+            log::warn!("client: the id of another open request");
+            return Ok(Some(failure("42710", "a request with this id is open")));
+        };
         let margin = self.front.limits.margin.as_micros() as Micros;
         let deadline = self.link.read_at + (statement.patience - margin).max(0);
         let front = self.front;
--- a/src/net/pg/host.rs
+++ b/src/net/pg/host.rs
@@ -1,17 +1,19 @@
 //! The host side: a startup, then one simple query at a time on a connection that is kept.
 
-use super::codec::{self, message};
+use super::codec::{self, Malformed};
+use super::reply::Reply;
 use super::statement::Statement;
 use crate::config::Limits;
 use crate::interface::*;
 use crate::net::buffer::Buffer;
-use crate::net::hosts::{Exchange, Trip, Wire, figure, report_of, silent};
+use crate::net::hosts::{Exchange, Trip, Wire, silent};
+use crate::net::until;
 use async_io::Async;
 use futures_lite::AsyncWriteExt;
-use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Instant;
 
 /// PostgreSQL's protocol towards hosts.
 pub struct Pg {
@@ -25,67 +27,6 @@
     buffer: Buffer,
 }
 
-/// What came back on a query, until it is ready for another.
-#[derive(Default)]
-struct Reply {
-    /// RowDescription, DataRow and CommandComplete as they came.
-    rows: Vec<u8>,
-    described: bool,
-    row: usize,
-    complete: bool,
-    error: Option<String>,
-    role: Option<bool>,
-    position: Option<Micros>,
-    vitals: Option<String>,
-    finished: bool,
-}
-
-impl Reply {
-    /// Takes one message.
-    fn take(&mut self, kind: u8, body: &[u8], whole: &[u8]) {
-        match kind {
-            b'T' => self.described = true,
-            b'D' => self.row += 1,
-            b'C' => self.complete = true,
-            b'E' => {
-                let code = codec::field(body, b'C').unwrap_or("").to_string();
-                log::debug!("host: {code} {}", codec::field(body, b'M').unwrap_or(""));
-                self.error = Some(code);
-            }
-            b'S' => match codec::status(body) {
-                Some(("rank", value)) => self.role = Some(value == "source"),
-                Some(("as_of", value)) => {
-                    self.position = value.parse().ok().and_then(|ms: Micros| ms.checked_mul(1000));
-                }
-                Some(("vitals", value)) => self.vitals = Some(value.to_string()),
-                _ => {}
-            },
-            b'Z' => self.finished = true,
-            _ => {}
-        }
-        if matches!(kind, b'T' | b'D' | b'C') {
-            self.rows.extend_from_slice(whole);
-        }
-    }
-
-    fn outcome(&self) -> Outcome {
-        match self.error.as_deref() {
-            None if self.described && self.row == 1 && self.complete => Outcome::Ok,
-            Some("25006" | "72000") => Outcome::Miss,
-            Some("53300" | "57P03") => Outcome::Full,
-            _ => Outcome::Error,
-        }
-    }
-
-    fn mark(&self) -> Option<Mark> {
-        Some(Mark { primary: self.role?, position: self.position.unwrap_or(0) })
-    }
-
-    fn report(&self, fields: &[String]) -> Report {
-        report_of(fields, |name| figure(self.vitals.as_deref().unwrap_or(""), name))
-    }
-}
-
 impl Pg {
     /// Reads load reports with these fields.
     pub fn new(limits: Rc<Limits>, report_fields: Vec<String>) -> Pg {
@@ -93,38 +34,41 @@
     }
 
     /// Reads until the host is ready for a query.
-    async fn reply(&self, c: &mut Connection) -> io::Result<Reply> {
-        let mut reply = Reply::default();
+    async fn reply(&self, c: &mut Connection, mut reply: Reply) -> Result<Reply, Broken> {
         loop {
-            let bytes = c.buffer.unread();
-            match message(bytes, self.limits.answer) {
-                Err(why) => return Err(io::Error::new(io::ErrorKind::InvalidData, why.0)),
-                Ok(Some((kind, body, used))) => {
-                    reply.take(kind, body, &bytes[..used]);
-                    c.buffer.consume(used);
-                    if reply.rows.len() > self.limits.answer {
-                        return Err(io::Error::new(io::ErrorKind::InvalidData, "the answer is too long"));
-                    }
-                    if reply.finished {
-                        return Ok(reply);
-                    }
-                }
-                Ok(None) => {
-                    let n = c.buffer.fill(&mut c.stream).await;
-                    // A fatal error needs no ReadyForQuery: the end of the stream ends the reply.
-                    if !matches!(n, Ok(n) if n > 0) {
-                        return if reply.error.is_some() || reply.complete {
-                            Ok(reply)
-                        } else {
-                            n.and(Err(io::ErrorKind::UnexpectedEof.into()))
-                        };
-                    }
-                }
+            let used = reply.take(c.buffer.unread(), self.limits.answer).map_err(|Malformed(why)| {
+                log::debug!("host: {why}");
+                Broken::Spoilt
+            })?;
+            c.buffer.consume(used);
+            if reply.finished() {
+                return Ok(reply);
+            }
+            // What has begun comes whole: a host that stops in the midst of an answer has spoilt it.
+            let begun = reply.begun() || !c.buffer.unread().is_empty();
+            let more = c.buffer.fill(&mut c.stream);
+            let more = match begun {
+                true => until(Instant::now() + self.limits.answer_stall, more).await.ok_or(Broken::Spoilt)?,
+                false => more.await,
+            };
+            match more {
+                Ok(n) if n > 0 => {}
+                // A fatal error needs no ReadyForQuery: the end of the stream ends the reply.
+                _ if reply.may_end() => return Ok(reply),
+                _ => return Err(Broken::Off),
             }
         }
     }
 }
 
+/// Why there is no reply.
+enum Broken {
+    /// The connection broke or ended.
+    Off,
+    /// What came is no answer. The connection serves no further use.
+    Spoilt,
+}
+
 impl Wire for Pg {
     type Work = Arc<Statement>;
     type Answer = Vec<u8>;
@@ -133,9 +77,9 @@
     async fn open(&self, stream: Async<TcpStream>) -> Result<Connection, Outcome> {
         let mut c = Connection { stream, buffer: Buffer::default() };
         c.stream.write_all(&codec::hello("web", "orders")).await.map_err(|_| Outcome::ConnectFailed)?;
-        let reply = self.reply(&mut c).await.map_err(|_| Outcome::ConnectFailed)?;
+        let reply = self.reply(&mut c, Reply::to_startup()).await.map_err(|_| Outcome::ConnectFailed)?;
         match reply.error.as_deref() {
-            None if reply.finished => Ok(c),
+            None if reply.idle() => Ok(c),
             Some("53300" | "57P03") => Err(Outcome::Full),
             _ => Err(Outcome::ConnectFailed),
         }
@@ -155,16 +99,18 @@
             return Exchange::bare(trip.broken());
         }
         trip.sent.set(true);
-        let Ok(reply) = self.reply(c).await else { return Exchange::bare(trip.broken()) };
+        let reply = match self.reply(c, Reply::default()).await {
+            Ok(reply) => reply,
+            Err(Broken::Off) => return Exchange::bare(trip.broken()),
+            // It has run, or may have: as with an error of the host's own. Nothing that it told is believed.
+            Err(Broken::Spoilt) => return Exchange::bare(Outcome::Error),
+        };
         let outcome = reply.outcome();
-        if outcome == Outcome::Error {
-            log::debug!("host: error {:?}, {} rows", reply.error, reply.row);
-        }
         Exchange {
             outcome,
             mark: reply.mark(),
             report: reply.report(&self.report_fields),
-            reusable: reply.finished && c.buffer.unread().is_empty(),
+            reusable: reply.idle() && c.buffer.unread().is_empty(),
             answer: (outcome == Outcome::Ok).then_some(reply.rows),
         }
     }
--- a/src/net/pg/mod.rs
+++ b/src/net/pg/mod.rs
@@ -3,5 +3,6 @@
 pub mod codec;
 pub mod front;
 pub mod host;
+pub mod reply;
 pub mod session;
 pub mod statement;
--- /dev/null
+++ b/src/net/pg/reply.rs
@@ -0,0 +1,282 @@
+//! What a host says on one query, message by message, without any I/O.
+//!
+//! Nothing of it is believed before it has its form: each kind of message has its place and its longest
+//! length, checked at its first bytes, so that neither noise nor a false length is waited for or kept.
+
+use super::codec::{self, Malformed, message};
+use crate::interface::*;
+use crate::net::hosts::{figure, report_of};
+
+/// The longest ParameterStatus, ErrorResponse or notice.
+const WORDS: usize = 8 * 1024;
+/// The longest description of the one column.
+const COLUMN: usize = 1024;
+/// The longest CommandComplete, ReadyForQuery or message of the startup.
+const SHORT: usize = 256;
+
+/// How far a reply has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Stage {
+    /// The answer to a startup message.
+    Startup,
+    #[default]
+    Begun,
+    Described,
+    Row,
+    Complete,
+    Failed,
+    Done,
+}
+
+/// A reply as far as it has come.
+#[derive(Debug, Default)]
+pub struct Reply {
+    stage: Stage,
+    /// RowDescription, DataRow and CommandComplete as they came.
+    pub rows: Vec<u8>,
+    row: bool,
+    /// The code of an ErrorResponse.
+    pub error: Option<String>,
+    idle: bool,
+    role: Option<bool>,
+    position: Option<Micros>,
+    vitals: Option<String>,
+}
+
+const FORM: Malformed = Malformed("a host's answer is out of form");
+
+impl Reply {
+    /// The reply to a startup message.
+    pub fn to_startup() -> Reply {
+        Reply { stage: Stage::Startup, ..Reply::default() }
+    }
+
+    /// Whether ReadyForQuery has come.
+    pub fn finished(&self) -> bool {
+        self.stage == Stage::Done
+    }
+
+    /// Whether the host may carry another query on this connection.
+    pub fn idle(&self) -> bool {
+        self.idle
+    }
+
+    /// Whether anything of it has come.
+    pub fn begun(&self) -> bool {
+        !matches!(self.stage, Stage::Startup | Stage::Begun)
+    }
+
+    /// Whether the end of the stream may end it: a fatal error needs no ReadyForQuery.
+    pub fn may_end(&self) -> bool {
+        matches!(self.stage, Stage::Complete | Stage::Failed | Stage::Done)
+    }
+
+    /// The longest message of a kind where the reply stands; `None`: it has no place here.
+    fn longest(&self, kind: u8, most: usize) -> Option<usize> {
+        match (kind, self.stage) {
+            (_, Stage::Done) => None,
+            (b'S' | b'N', _) => Some(WORDS),
+            (b'E', Stage::Startup | Stage::Begun | Stage::Described | Stage::Row) => Some(WORDS),
+            (b'R' | b'K', Stage::Startup) => Some(SHORT),
+            (b'T', Stage::Begun) => Some(COLUMN),
+            (b'D', Stage::Described) => Some(most),
+            (b'C', Stage::Described | Stage::Row) => Some(SHORT),
+            (b'Z', Stage::Startup | Stage::Complete | Stage::Failed) => Some(SHORT),
+            _ => None,
+        }
+    }
+
+    /// Takes what has come, up to the end of the reply: how many bytes it used.
+    pub fn take(&mut self, bytes: &[u8], most: usize) -> Result<usize, Malformed> {
+        let mut used = 0;
+        while let Some(&kind) = bytes.get(used) {
+            if self.finished() {
+                break;
+            }
+            let rest = &bytes[used..];
+            let longest = self.longest(kind, most).ok_or(FORM)?;
+            // The one column's length stands behind the row's: two that do not fit are not waited for.
+            if kind == b'D' && rest.len() >= 11 && !fits(&rest[1..11]) {
+                return Err(FORM);
+            }
+            let Some((kind, body, length)) = message(rest, longest)? else { break };
+            self.message(kind, body)?;
+            if matches!(kind, b'T' | b'D' | b'C') {
+                self.rows.extend_from_slice(&rest[..length]);
+            }
+            used += length;
+        }
+        Ok(used)
+    }
+
+    fn message(&mut self, kind: u8, body: &[u8]) -> Result<(), Malformed> {
+        let form = |right: bool| if right { Ok(()) } else { Err(FORM) };
+        match kind {
+            b'R' => return form(body == [0; 4]),
+            b'T' => {
+                let name = body.get(2..).and_then(|b| b.iter().position(|b| *b == 0));
+                form(body.starts_with(&[0, 1]) && name.is_some_and(|n| body.len() == 2 + n + 1 + 18))?;
+                self.stage = Stage::Described;
+            }
+            b'D' => {
+                // Fitting lengths were seen to above, where all of them had come.
+                form(body.len() >= 6)?;
+                (self.stage, self.row) = (Stage::Row, true);
+            }
+            b'C' => {
+                let tag = body.strip_suffix(b"\0").filter(|t| t.first().is_some_and(u8::is_ascii_uppercase));
+                form(tag.is_some_and(|t| t.iter().all(|b| (b' '..=b'~').contains(b))))?;
+                self.stage = Stage::Complete;
+            }
+            b'E' => {
+                let code = codec::field(body, b'C').unwrap_or("");
+                form(
+                    body.ends_with(&[0, 0])
+                        && code.len() == 5
+                        && code.bytes().all(|b| b.is_ascii_alphanumeric()),
+                )?;
+                log::debug!("host: {code} {}", codec::field(body, b'M').unwrap_or(""));
+                (self.stage, self.error) = (Stage::Failed, Some(code.to_string()));
+            }
+            // One that cannot be read tells nothing, and costs the answer nothing.
+            b'S' => match codec::status(body) {
+                Some(("rank", "source")) => self.role = Some(true),
+                Some(("rank", "copy")) => self.role = Some(false),
+                Some(("as_of", value)) => {
+                    self.position = value.parse().ok().and_then(|ms: Micros| ms.checked_mul(1000));
+                }
+                Some(("vitals", value)) => self.vitals = Some(value.to_string()),
+                _ => {}
+            },
+            b'Z' => {
+                form(matches!(body, b"I" | b"T" | b"E"))?;
+                (self.stage, self.idle) = (Stage::Done, body == b"I");
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// What it means for the attempt.
+    pub fn outcome(&self) -> Outcome {
+        match self.error.as_deref() {
+            None if self.row => Outcome::Ok,
+            Some("25006" | "72000") => Outcome::Miss,
+            Some("53300" | "57P03") => Outcome::Full,
+            _ => Outcome::Error,
+        }
+    }
+
+    /// Role and position of the host.
+    pub fn mark(&self) -> Option<Mark> {
+        Some(Mark { primary: self.role?, position: self.position.unwrap_or(0) })
+    }
+
+    /// Its load report.
+    pub fn report(&self, fields: &[String]) -> Report {
+        report_of(fields, |name| figure(self.vitals.as_deref().unwrap_or(""), name))
+    }
+}
+
+/// Whether a row's length, its one column and that column's length belong together.
+fn fits(head: &[u8]) -> bool {
+    let at = |n: usize| head.get(n..n + 4).and_then(|b| b.try_into().ok()).map(i32::from_be_bytes);
+    let (Some(row), Some(column)) = (at(0), at(6)) else { return false };
+    // A column of length -1 is null and has no bytes.
+    head[4..6] == [0, 1] && i64::from(row) == 10 + i64::from(column.max(0)) && column >= -1
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::pg::codec::put;
+    use proptest::prelude::*;
+    use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+    const MOST: usize = 64 * 1024 + 10;
+
+    fn good(value: &[u8]) -> Vec<u8> {
+        let mut out = Vec::new();
+        put(&mut out, b'T', &[&[0, 1], b"payload\0", &[0; 18]]);
+        put(&mut out, b'D', &[&[0, 1], &(value.len() as u32).to_be_bytes(), value]);
+        put(&mut out, b'C', &[b"SELECT 1\0"]);
+        put(&mut out, b'S', &[b"rank\0copy\0"]);
+        put(&mut out, b'S', &[b"vitals\0x0=\xff\xfe,x1=1\0"]);
+        put(&mut out, b'Z', &[b"I"]);
+        out
+    }
+
+    /// Takes bytes in pieces: what came of it, and how many were used.
+    fn read(bytes: &[u8], piece: usize) -> (Reply, Result<usize, Malformed>) {
+        let (mut reply, mut used, mut end) = (Reply::default(), 0, 0);
+        while end < bytes.len() {
+            end = (end + piece).min(bytes.len());
+            match reply.take(&bytes[used..end], MOST) {
+                Ok(n) => used += n,
+                Err(e) => return (reply, Err(e)),
+            }
+        }
+        (reply, Ok(used))
+    }
+
+    /// Guards against a spoilt answer that is passed on, or whose missing bytes are waited for.
+    #[test]
+    fn spoilt_answers_are_seen_at_their_first_wrong_bytes() {
+        let whole = good(b"value");
+        let row = whole.iter().position(|b| *b == b'D').unwrap();
+        let change = |at: usize, to: &[u8]| {
+            let mut bytes = whole.clone();
+            bytes[at..at + to.len()].copy_from_slice(to);
+            bytes
+        };
+        for (bytes, seen_by) in [
+            (change(row + 1, &[0, 0, 0, 2]), row + 5),
+            (change(row + 1, &[0xb2, 0xd0, 0x5e, 0x0a]), row + 5),
+            (change(row + 1, &[0, 0, 0, 99]), row + 11),
+            (change(row + 7, &[0, 0, 0, 4]), row + 11),
+            (change(row + 5, &[0, 2]), row + 11),
+            (change(row, b"x"), row + 1),
+            (vec![b'x'; 400], 1),
+            ([&whole[..row], &whole[row + 11..]].concat(), row + 5),
+            ([&whole[..row], &whole[row..row + 16], &whole[row..]].concat(), row + 17),
+        ] {
+            assert!(read(&bytes[..seen_by], 1).1.is_err(), "{:?}", &bytes[row..row + 12]);
+        }
+        let mut tag = good(b"v");
+        let at = tag.windows(8).position(|w| w == b"SELECT 1").unwrap();
+        tag[at + 8] = b'!';
+        assert!(read(&tag, 7).1.is_err(), "a line that does not end");
+    }
+
+    /// Any value passes whole in pieces of any size, bytes behind it are left alone, a report that cannot be
+    /// read costs nothing, and any one changed byte gives the value that was made, a failure, or a wait for
+    /// more: never another length of it.
+    #[test]
+    fn random_bytes_never_pass_for_an_answer() {
+        let parts = (prop::collection::vec(any::<u8>(), 0..60), 1usize..50, any::<u16>(), any::<u8>());
+        let config = Config { cases: 600, failure_persistence: None, ..Config::default() };
+        let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[9; 32]);
+        let check = |(value, piece, at, byte): (Vec<u8>, usize, u16, u8)| {
+            let whole = good(&value);
+            let (reply, used) = read(&[&whole[..], b"T\0\0"].concat(), piece);
+            prop_assert_eq!(used, Ok(whole.len()));
+            prop_assert!(reply.finished() && reply.idle() && reply.outcome() == Outcome::Ok);
+            prop_assert_eq!(reply.mark(), Some(Mark { primary: false, position: 0 }));
+            prop_assert_eq!(reply.report(&["x0".to_string()]).count, 0);
+            let (first, served) = (33, reply.rows.clone());
+            prop_assert_eq!(&served[first + 11..first + 11 + value.len()], &value[..]);
+            let mut spoilt = whole.clone();
+            let n = usize::from(at) % whole.len();
+            spoilt[n] = byte;
+            let (reply, used) = read(&spoilt, piece);
+            if used.is_ok() && reply.finished() && reply.outcome() == Outcome::Ok {
+                prop_assert_eq!(reply.rows.len(), served.len());
+            }
+            // Noise alone is refused at once or has no row in it.
+            let (noise, _) = read(&value, piece);
+            prop_assert!(noise.outcome() != Outcome::Ok);
+            Ok(())
+        };
+        TestRunner::new_with_rng(config, rng).run(&parts, check).unwrap();
+    }
+}
--- a/src/net/pg/statement.rs
+++ b/src/net/pg/statement.rs
@@ -9,6 +9,8 @@
     text: String,
     /// Where the digits of `d` stand.
     wait: Range<usize>,
+    /// The request's id.
+    pub id: String,
     /// Name of the class.
     pub class: String,
     /// How long the client waits.
@@ -28,6 +30,9 @@
 /// The longest wait that is taken at its word: a day.
 const LONGEST_MS: i64 = 86_400_000;
 
+/// The longest id that is taken.
+const LONGEST_ID: usize = 64;
+
 fn number<T: std::str::FromStr>(text: &str) -> Option<T> {
     text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
 }
@@ -47,7 +52,7 @@
             pair.split_once('=').ok_or_else(|| format!("{pair:?} in the comment has no value"))?;
         let wrong = || format!("{name}={value:?} in the comment is no such value");
         match name {
-            "id" => id = Some(value).filter(|v| !v.is_empty()),
+            "id" => id = Some(value).filter(|v| (1..=LONGEST_ID).contains(&v.len())),
             "c" => class = Some(value.to_string()),
             "d" => {
                 let ms: i64 = number(value).filter(|ms| *ms <= LONGEST_MS).ok_or_else(wrong)?;
@@ -65,7 +70,7 @@
         }
         at += part.len() + 1;
     }
-    id.ok_or("the comment has no id")?;
+    let id = id.ok_or("the comment has no id")?.to_string();
     let (ms, wait) = wait.ok_or("the comment does not say how long the client waits")?;
     let key = body.split('\'').nth(1).unwrap_or("").to_string();
     if body.trim().is_empty() {
@@ -74,6 +79,7 @@
     Ok(Statement {
         text: text.to_string(),
         wait,
+        id,
         class: class.ok_or("the comment names no class")?,
         patience: ms * 1000,
         group: group.ok_or("the comment names no group")?,
--- a/src/net/sparql/host.rs
+++ b/src/net/sparql/host.rs
@@ -193,7 +193,9 @@
     async fn exchange(&self, c: &mut Client, work: &Arc<Operation>, trip: &OwnTrip<'_>) -> Exchange<Answer> {
         self.answer(c, work, trip).await.unwrap_or_else(|e| {
             log::debug!("host: {e}");
-            Exchange::bare(trip.broken())
+            // An answer out of form has run, or may have; the connection itself is not what broke.
+            let spoilt = trip.sent.get() && e.kind() == io::ErrorKind::InvalidData;
+            Exchange::bare(if spoilt { Outcome::Error } else { trip.broken() })
         })
     }
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -121,6 +121,57 @@
     assert!(p.count() >= 2, "a keyed write is repeated within its window");
 }
 
+/// Guards against spoilt answers that are passed on, waited for to the deadline, or laid to a sound host.
+#[test]
+fn a_spoilt_answer_is_a_failed_attempt_and_its_connection_is_not_used_again() {
+    let row = |column: u32, row: u32| {
+        let described = pg_message(b'T', &[&1u16.to_be_bytes()[..], b"payload\0", &[0; 18]].concat());
+        let data = [&[b'D'][..], &row.to_be_bytes(), &[0, 1], &column.to_be_bytes(), b"bad"].concat();
+        [described, data, pg_message(b'C', b"SELECT 1\0"), pg_message(b'Z', b"I")].concat()
+    };
+    let spoilt =
+        [row(3, 2), row(3, 3_000_000_000), row(3, 40), row(90, 13), vec![b'x'; 300], b"\0\xff\r\n".to_vec()];
+    for bytes in spoilt.into_iter().chain([row(3, 13)[..40].to_vec()]) {
+        let sent = Arc::new(AtomicUsize::new(0));
+        let (again, text) = (sent.clone(), format!("{bytes:?}"));
+        let (p, r) = pair(move |_| match again.fetch_add(1, Ordering::SeqCst) {
+            1 => Reply::Raw(bytes.clone()),
+            _ => Reply::Row(b"good"),
+        });
+        let s = started(&both(&p, &r));
+        let mut client = PgClient::connect(s.address);
+        assert_eq!(client.ask(&write("0", 1900, "")).code, None, "now the primary is known");
+        let began = std::time::Instant::now();
+        assert_eq!(client.ask(&write("1", 1900, ",k=9")).value.as_deref(), Some(&b"good"[..]), "{text}");
+        assert!(began.elapsed().as_millis() < 1_000, "not waited for: {text}");
+        assert_eq!(sent.load(Ordering::SeqCst), 3, "{text}");
+        // Without a key it may not be repeated: it has run, or may have.
+        sent.store(1, Ordering::SeqCst);
+        assert_eq!(client.ask(&write("2", 1900, "")).code.as_deref(), Some("58000"), "{text}");
+        assert_eq!(client.ask(&write("3", 1900, "")).value.as_deref(), Some(&b"good"[..]), "{text}");
+        assert_eq!(sent.load(Ordering::SeqCst), 3, "{text}");
+    }
+}
+
+/// Guards against a client that names another's open request: a host would take it for that one's repeat.
+#[test]
+fn the_id_of_an_open_request_is_refused_until_that_is_answered() {
+    let (go, wait) = channel();
+    let wait = Arc::new(Mutex::new(wait));
+    let (p, r) = pair(move |_| Reply::After(wait.clone(), b"own"));
+    let s = started(&both(&p, &r));
+    let (mut first, mut other) = (PgClient::connect(s.address), PgClient::connect(s.address));
+    first.send(&pg_query(&write("7", 5_000, ",k=1")));
+    eventually("the primary has the write", || p.count() == 1);
+    let before = r.count();
+    assert_eq!(other.ask(&read("7", 1000)).code.as_deref(), Some("42710"));
+    assert_eq!(other.ask(&write("7", 1000, ",k=1")).code.as_deref(), Some("42710"));
+    assert_eq!((p.count(), r.count()), (1, before));
+    go.send(()).unwrap();
+    assert_eq!(first.answer().unwrap().value.as_deref(), Some(&b"own"[..]));
+    assert_eq!(other.ask(&read("7", 1000)).value.as_deref(), Some(&b"replica"[..]), "it is open no more");
+}
+
 /// Guards against a write that is lost on a connection that its host has closed meanwhile.
 #[test]
 fn a_connection_that_its_host_has_closed_is_not_used_again() {
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -365,6 +365,8 @@
     Break,
     /// Answers, then ends the connection.
     RowThenEnd(&'static [u8]),
+    /// Exactly these bytes; the connection stays open.
+    Raw(Vec<u8>),
     /// Answers once this is told.
     After(Arc<Mutex<Receiver<()>>>, &'static [u8]),
 }
@@ -429,6 +431,10 @@
                 return None;
             }
             Reply::Row(value) => row(value),
+            Reply::Raw(bytes) => {
+                stream.write_all(&bytes).ok()?;
+                continue;
+            }
             Reply::Error(code) => pg_message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes()),
             Reply::Break => return None,
             Reply::Silence => {
