Let silent connections make room at once and bound what clients make the pooler hold

Faulty lines: Limits::startup was 10 s; Seats::make_room in src/net/listen.rs knew idle connections alone, so one that never got past its startup could not be ended; Client::run waited without end for a first query; accept took hundreds of connections before the tasks of any ran. While a request was open 128 KiB were read ahead of it, 25 MB with all seats; each waiting connection held 8 to 16 KiB of read buffer in its task; memory_mb was read and never used.

Change: a seat waits, stands idle or is busy; who has sent no whole request for 100 ms goes first, then the longest idle; 2 s for the first whole request; reads through the stack; a budget for long messages from memory_mb. Both fronts have a test with more silent connections than seats.

--- a/src/config.rs
+++ b/src/config.rs
@@ -15,6 +15,12 @@
     pub requests: usize,
     /// Inputs that wait for the module's owner.
     pub queue: usize,
+    /// Bytes of its message that a client may have held without asking for room.
+    pub small: usize,
+    /// Bytes that the longer messages of all clients may hold together.
+    pub held: usize,
+    /// Bytes that are read of what a client sends behind a request that is still open.
+    pub ahead: usize,
     /// The longest startup message of a client.
     pub startup_message: usize,
     /// The longest message of a client.
@@ -33,8 +39,10 @@
     pub connect: Duration,
     /// An idle connection to a host is closed after this, before the host would.
     pub host_idle: Duration,
-    /// Time for a client to get past its startup.
+    /// Time for a client to send its first request whole from its connection, any other from its first byte.
     pub startup: Duration,
+    /// A client that has sent no whole request for so long makes room before one that has.
+    pub grace: Duration,
     /// Time for a client to take its answer.
     pub write: Duration,
     /// How long discovery may hold a watch.
@@ -45,8 +53,9 @@
     pub pause: (Duration, Duration),
     /// The answer goes out this long before the client stops waiting.
     pub margin: Duration,
-    /// A connection that is closed is read for so long, or its last answer may be lost with a reset.
-    pub linger: Duration,
+    /// A connection that is closed is read for so long, or its last answer may be lost with a reset, and for no
+    /// more bytes than these.
+    pub linger: (Duration, usize),
     /// A host that sends nothing for so long in the midst of an answer has broken off.
     pub stall: Duration,
     /// A host that sends nothing for so long in the midst of an answer that is held back has spoilt it.
@@ -80,23 +89,56 @@
     pub ready: Duration,
 }
 
-/// Descriptors kept for the listener, discovery, peers, the reactor and standard streams.
-const RESERVED: usize = 40;
+/// What the program may use of its machine.
+#[derive(Clone, Copy, Debug)]
+pub struct Machine {
+    /// Descriptors that it may hold.
+    pub sockets: usize,
+    /// Descriptors out of them for all that is no connection of a client or to a host.
+    pub reserved: usize,
+    /// Memory that it may use, in MB.
+    pub memory_mb: f64,
+}
+
+impl Machine {
+    /// On the platform: standard streams, the reactor's three, signals, the listener, two calls to discovery,
+    /// peers, and a file that is read.
+    pub fn platform(sockets: Option<usize>, memory_mb: Option<f64>) -> Machine {
+        let memory_mb = memory_mb.filter(|mb| *mb >= 1.0).unwrap_or(MEMORY_MB);
+        Machine { sockets: sockets.unwrap_or(1024), reserved: 20, memory_mb }
+    }
 
+    /// With an operator's file: the same, and the store with its clients and peers.
+    pub fn operator(sockets: usize) -> Machine {
+        Machine { sockets, reserved: 40, memory_mb: MEMORY_MB }
+    }
+}
+
+/// Memory where nothing is said of it.
+const MEMORY_MB: f64 = 192.0;
 /// The longest value.
 const VALUE: usize = 64 * 1024;
 
 impl Limits {
-    /// Limits for a process that may hold `sockets` descriptors.
+    /// Limits for an operator's daemon that may hold `sockets` descriptors.
     pub fn for_sockets(sockets: usize) -> Limits {
-        let free = sockets.saturating_sub(RESERVED).max(8);
-        // An answered request needs one connection on each side; idle ones pile up on the clients'.
-        let (clients, turned_away) = (free * 9 / 16, free / 16);
+        Limits::on(Machine::operator(sockets))
+    }
+    /// Limits for a process on such a machine.
+    pub fn on(machine: Machine) -> Limits {
+        let Machine { sockets, reserved, memory_mb } = machine;
+        let free = sockets.saturating_sub(reserved).max(16);
+        // An open request needs one connection on each side; idle and silent ones pile up on the clients'.
+        let (clients, turned_away) = (free / 2, free / 16);
         Limits {
             clients,
             turned_away,
             hosts: free - clients - turned_away,
             requests: 4096,
+            // A long statement is held up to five times on its way: read, taken, numbered, written out.
+            small: 16 * 1024,
+            held: (memory_mb * 1024.0 * 1024.0 / 8.0) as usize,
+            ahead: 16 * 1024,
             queue: 1024,
             startup_message: 10_000,
             // Values hold 64 KiB at the most; in a statement each byte takes two digits.
@@ -108,13 +150,14 @@
             datagram: 256,
             connect: Duration::from_millis(250),
             host_idle: Duration::from_secs(14),
-            startup: Duration::from_secs(10),
+            startup: Duration::from_secs(2),
+            grace: Duration::from_millis(100),
             write: Duration::from_secs(5),
             watch: Duration::from_secs(10),
             discovery: Duration::from_secs(1),
             pause: (Duration::from_millis(50), Duration::from_secs(1)),
             margin: Duration::from_millis(4),
-            linger: Duration::from_millis(500),
+            linger: (Duration::from_millis(500), 1024 * 1024),
             stall: Duration::from_secs(10),
             answer_stall: Duration::from_millis(250),
             settle: Duration::from_millis(1),
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -2,7 +2,7 @@
 
 use super::{Executor, accept, carry, signal, signalled, until_drained};
 use crate::clock::Clock;
-use crate::config::Limits;
+use crate::config::{Limits, Machine};
 use crate::core::classes::Classes;
 use crate::core::members::Listing;
 use crate::core::{self, Command, Control, Input};
@@ -28,7 +28,7 @@
 }
 
 fn limits(platform: &Platform) -> Limits {
-    let mut limits = Limits::for_sockets(platform.sockets.unwrap_or(1024));
+    let mut limits = Limits::on(Machine::platform(platform.sockets, platform.memory_mb));
     limits.hosts_idle_for(platform.conn_idle);
     if let Some(connect) = platform.settings.connect_timeout {
         limits.connect = Duration::from_micros(connect.max(1) as u64);
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -1,7 +1,8 @@
 //! Bytes that came in and were not used yet.
 
-use futures_lite::{AsyncRead, AsyncReadExt};
-use std::io;
+use async_io::Async;
+use std::io::{self, Read};
+use std::net::TcpStream;
 
 /// Read at a time.
 const CHUNK: usize = 16 * 1024;
@@ -42,11 +43,16 @@
         self.bytes.extend_from_slice(more);
     }
 
-    /// Reads once from a stream; 0 at its end.
-    pub async fn fill(&mut self, stream: &mut (impl AsyncRead + Unpin)) -> io::Result<usize> {
-        let mut chunk = [0; CHUNK];
-        let n = stream.read(&mut chunk).await?;
-        self.push(&chunk[..n]);
-        Ok(n)
+    /// Reads once from a stream; 0 at its end. What is read into lives on the stack for the moment of the read
+    /// only: hundreds of connections wait at any time.
+    pub async fn fill(&mut self, stream: &Async<TcpStream>) -> io::Result<usize> {
+        stream
+            .read_with(|mut stream| {
+                let mut chunk = [0; CHUNK];
+                let n = stream.read(&mut chunk)?;
+                self.push(&chunk[..n]);
+                Ok(n)
+            })
+            .await
     }
 }
--- a/src/net/http/client.rs
+++ b/src/net/http/client.rs
@@ -67,7 +67,7 @@
                 }
                 return Err(Malformed::Form("the status line is out of form").into());
             }
-            if self.buffer.fill(&mut self.stream).await? == 0 {
+            if self.buffer.fill(&self.stream).await? == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
         }
@@ -80,7 +80,7 @@
         if *body == Body::Done {
             return Ok(true);
         }
-        if self.buffer.fill(&mut self.stream).await? == 0 {
+        if self.buffer.fill(&self.stream).await? == 0 {
             // Only a body that lasts until the end may end so; any other was cut short.
             return if *body == Body::UntilEnd { Ok(true) } else { Err(io::ErrorKind::UnexpectedEof.into()) };
         }
--- a/src/net/http/server.rs
+++ b/src/net/http/server.rs
@@ -4,8 +4,6 @@
 use crate::config::Limits;
 use crate::net::buffer::Buffer;
 use crate::net::link::{Heard, Link};
-use crate::net::until;
-use std::time::Instant;
 
 /// A request that came whole.
 #[derive(Clone, Debug)]
@@ -95,18 +93,28 @@
     Next::Refused(status, why.to_string())
 }
 
-/// Waits for the next request of a connection. What has begun must be whole within the time for startups.
+/// Waits for the next request of a connection.
 pub async fn next(link: &mut Link, buffer: &mut Buffer, limits: &Limits) -> Next {
     while buffer.unread().is_empty() {
-        match link.hear(true, buffer).await {
-            Ok(Heard::More) => {}
-            _ => return Next::Over,
+        if let Err(over) = hear(link, false, 0, buffer).await {
+            return over;
         }
     }
-    let end = Instant::now() + limits.startup;
-    until(end, whole(link, buffer, limits))
-        .await
-        .unwrap_or(Next::Refused(408, "the request took too long".into()))
+    let next = whole(link, buffer, limits).await;
+    if matches!(next, Next::Request(_)) {
+        link.taken();
+    }
+    next
+}
+
+/// Waits for more, or tells how it is over. What has begun must be whole within its time.
+async fn hear(link: &mut Link, partial: bool, held: usize, buffer: &mut Buffer) -> Result<(), Next> {
+    match link.hear(partial, held, buffer).await {
+        Ok(Heard::More) => Ok(()),
+        Ok(Heard::Late) => Err(Next::Refused(408, "no whole request came in time".into())),
+        Ok(Heard::Full) => Err(Next::Refused(503, "no room for a message of this length".into())),
+        Ok(Heard::Gone | Heard::Ends) | Err(_) => Err(Next::Over),
+    }
 }
 
 async fn whole(link: &mut Link, buffer: &mut Buffer, limits: &Limits) -> Next {
@@ -116,10 +124,12 @@
                 buffer.consume(used);
                 break head;
             }
-            Ok(None) => match link.hear(false, buffer).await {
-                Ok(Heard::More) => {}
-                _ => return Next::Over,
-            },
+            Ok(None) => {
+                let held = buffer.unread().len();
+                if let Err(over) = hear(link, true, held, buffer).await {
+                    return over;
+                }
+            }
             Err(why) => return refused(&why, 431),
         }
     };
@@ -147,9 +157,8 @@
         if matches!(framing, Body::Length(n) | Body::Chunk(n) if n > limits.message) {
             return refused(&Malformed::TooLarge, 413);
         }
-        match link.hear(false, buffer).await {
-            Ok(Heard::More) => {}
-            _ => return Next::Over,
+        if let Err(over) = hear(link, true, body.len() + buffer.unread().len(), buffer).await {
+            return over;
         }
     }
 }
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -2,20 +2,20 @@
 //! an end that does not lose the last answer.
 
 use super::buffer::Buffer;
-use super::listen::Place;
+use super::listen::{Place, Standing};
 use super::until;
 use crate::clock::Clock;
 use crate::config::Limits;
 use crate::interface::Micros;
-use async_io::Async;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
-use std::io;
+use async_io::{Async, Timer};
+use futures_lite::{AsyncWriteExt, future};
+use std::io::{self, Read};
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 use std::time::Instant;
 
-/// Read at a time.
-const CHUNK: usize = 8192;
+/// Read at a time of what is passed over.
+const CHUNK: usize = 16 * 1024;
 
 /// What a client did.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,6 +26,10 @@
     Gone,
     /// It did nothing, and the connection is to end.
     Ends,
+    /// It has not sent a whole request in time.
+    Late,
+    /// There is no room for what it sends.
+    Full,
 }
 
 /// A client's connection.
@@ -36,12 +40,16 @@
     clock: Clock,
     /// When the last bytes came.
     pub read_at: Micros,
+    /// Since when a request is awaited: from the connection for the first, from its first byte for others.
+    awaited: Option<Instant>,
+    wrote: Option<Instant>,
 }
 
 impl Link {
     /// Takes a connection over.
     pub fn new(stream: Async<TcpStream>, place: Place, limits: Rc<Limits>, clock: Clock) -> Link {
-        Link { read_at: clock.now(), stream, place, limits, clock }
+        let awaited = Some(Instant::now());
+        Link { read_at: clock.now(), stream, place, limits, clock, awaited, wrote: None }
     }
 
     /// Whether the connection is to end between requests.
@@ -49,51 +57,63 @@
         self.place.ends()
     }
 
+    /// A whole request has come.
+    pub fn taken(&mut self) {
+        self.awaited = None;
+        self.place.stands(Standing::Busy, Instant::now());
+    }
+
     /// Reads once; 0 at the end of the stream.
     pub async fn read(&mut self, into: &mut Buffer) -> io::Result<usize> {
-        let mut chunk = [0; CHUNK];
-        let n = self.stream.read(&mut chunk).await?;
+        let n = into.fill(&self.stream).await?;
         self.read_at = self.clock.now();
-        into.push(&chunk[..n]);
         Ok(n)
     }
 
     /// Writes all, within the time a client has to take it.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         let work = self.stream.write_all(bytes);
-        until(Instant::now() + self.limits.write, work).await.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
+        let done = until(Instant::now() + self.limits.write, work).await;
+        self.wrote = Some(Instant::now());
+        done.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
     }
 
-    /// Waits for bytes; between requests (`idle`) also for the wish to end.
-    pub async fn hear(&mut self, idle: bool, into: &mut Buffer) -> io::Result<Heard> {
-        self.place.idle(idle);
-        let mut chunk = [0; CHUNK];
+    /// Waits for bytes where no request is open. With `partial` a part of one has come, `held` bytes of it.
+    /// Whoever has yet to send a whole one has so long for it, and may make room for others meanwhile; so may
+    /// who stands between requests.
+    pub async fn hear(&mut self, partial: bool, held: usize, into: &mut Buffer) -> io::Result<Heard> {
+        if !self.place.hold(held) {
+            return Ok(Heard::Full);
+        }
+        let now = Instant::now();
+        if partial {
+            self.awaited.get_or_insert(now);
+        }
+        let (standing, since) = self.awaited.map_or((Standing::Idle, now), |at| (Standing::Waiting, at));
+        self.place.stands(standing, since);
+        let late = self.awaited.map(|at| at + self.limits.startup);
         let (stream, place) = (&self.stream, &self.place);
         let ends = async {
-            if !idle {
-                future::pending::<()>().await;
-            }
             place.ended().await;
-            Ok(None)
+            Ok(Heard::Ends)
         };
-        let read = async { (&*stream).read(&mut chunk).await.map(Some) };
-        // What has come is read before the wish to end is heard.
-        let heard = future::or(read, ends).await;
-        self.place.idle(false);
-        Ok(match heard? {
-            None => Heard::Ends,
-            Some(0) => Heard::Gone,
-            Some(n) => {
-                self.read_at = self.clock.now();
-                into.push(&chunk[..n]);
-                Heard::More
+        let late = async {
+            match late {
+                Some(at) => drop(Timer::at(at).await),
+                None => future::pending().await,
             }
-        })
+            Ok(Heard::Late)
+        };
+        let read = async { into.fill(stream).await.map(|n| if n > 0 { Heard::More } else { Heard::Gone }) };
+        // What has come is read before the wish to end is heard.
+        let heard = future::or(read, future::or(ends, late)).await;
+        self.read_at = self.clock.now();
+        heard
     }
 
-    /// Comes back when the client has gone. What it sends meanwhile is kept, up to `most` bytes.
-    pub async fn gone(&mut self, into: &mut Buffer, most: usize) {
-        while into.unread().len() <= most {
+    /// Comes back when the client has gone. What it sends meanwhile is kept, up to `Limits::ahead`.
+    pub async fn gone(&mut self, into: &mut Buffer) {
+        while into.unread().len() <= self.limits.ahead {
             if !matches!(self.read(into).await, Ok(n) if n > 0) {
                 return;
             }
@@ -101,11 +121,27 @@
         future::pending().await
     }
 
-    /// Closes so that what was written arrives: a close over unread bytes would reset the connection.
+    /// Closes so that what was written arrives: a close over unread bytes would reset the connection. What
+    /// comes meanwhile is passed over, not kept, and not for ever.
     pub async fn linger(&mut self) -> io::Result<()> {
+        let (time, mut left) = self.limits.linger;
+        if self.wrote.is_none_or(|at| at.elapsed() > time) {
+            return Ok(());
+        }
+        self.place.hold(0);
+        self.place.stands(Standing::Waiting, Instant::now());
         self.stream.get_ref().shutdown(Shutdown::Write)?;
-        let read = async { while matches!(self.stream.read(&mut [0; 1024]).await, Ok(n) if n > 0) {} };
-        until(Instant::now() + self.limits.linger, read).await;
+        let (stream, place) = (&self.stream, &self.place);
+        let pass = |mut stream: &TcpStream| stream.read(&mut [0; CHUNK]);
+        let read = async {
+            while let Ok(n) = stream.read_with(pass).await
+                && n > 0
+                && n < left
+            {
+                left -= n;
+            }
+        };
+        until(Instant::now() + time, future::or(read, place.ended())).await;
         Ok(())
     }
 }
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -3,6 +3,7 @@
 use crate::config::Limits;
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
+use futures_lite::future;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
@@ -19,9 +20,20 @@
     TurnedAway,
 }
 
+/// Where a connection stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// No whole request has come yet, or a part of the next one, or it is being closed.
+    Waiting,
+    /// Between requests.
+    Idle,
+    /// A request is open.
+    Busy,
+}
+
 struct Seat {
-    /// Since when it stands between requests.
-    idle: Cell<Option<Instant>>,
+    /// Where it stands, since when.
+    stands: Cell<(Standing, Instant)>,
     /// Closed: the connection is to end between two requests.
     end: Sender<()>,
 }
@@ -32,6 +44,8 @@
     next: Cell<u64>,
     taken: RefCell<BTreeMap<u64, Rc<Seat>>>,
     turned_away: Cell<usize>,
+    /// Bytes that long messages of clients hold.
+    held: Cell<usize>,
     /// A message when a connection has left.
     left: (Sender<()>, Receiver<()>),
 }
@@ -41,6 +55,7 @@
     seats: Rc<Seats>,
     number: u64,
     seat: Option<Rc<Seat>>,
+    held: usize,
     end: Receiver<()>,
 }
 
@@ -52,6 +67,7 @@
             next: Cell::new(0),
             taken: RefCell::default(),
             turned_away: Cell::new(0),
+            held: Cell::new(0),
             left: async_channel::bounded(1),
         })
     }
@@ -75,15 +91,22 @@
         }
     }
 
-    /// Clients keep connections that they do not use: the longest idle one ends for a new one. Until it has,
-    /// both hold descriptors, out of the share of those that are turned away.
+    /// Clients keep connections that they do not use, and some connect and say nothing: one of these ends for a
+    /// new one. Those that have not sent a whole request in a while go before those that have, the longest
+    /// first. Until it has ended both hold descriptors, out of the share of those that are turned away.
     fn make_room(&self) -> bool {
         let taken = self.taken.borrow();
-        let idle = taken.values().filter(|s| !s.end.is_closed()).filter_map(|s| Some((s.idle.get()?, s)));
-        let longest = idle
-            .min_by_key(|(since, _)| *since)
-            .filter(|_| taken.len() + self.turned_away.get() < self.limits.clients + self.limits.turned_away);
-        longest.is_some_and(|(_, seat)| seat.end.close())
+        if taken.len() + self.turned_away.get() >= self.limits.clients + self.limits.turned_away {
+            return false;
+        }
+        let longest = |wanted| {
+            let open = taken.values().filter(|s| !s.end.is_closed() && s.stands.get().0 == wanted);
+            open.min_by_key(|s| s.stands.get().1)
+        };
+        let silent = longest(Standing::Waiting);
+        let ripe = silent.filter(|s| s.stands.get().1.elapsed() >= self.limits.grace);
+        let goes = ripe.or_else(|| longest(Standing::Idle)).or(silent);
+        goes.is_some_and(|seat| seat.end.close())
     }
 
     fn seat(self: &Rc<Seats>) -> Option<(Place, Welcome)> {
@@ -94,24 +117,40 @@
                 return None;
             }
             self.turned_away.set(self.turned_away.get() + 1);
-            return Some((Place { seats: self.clone(), number: 0, seat: None, end }, Welcome::TurnedAway));
+            return Some((
+                Place { seats: self.clone(), number: 0, seat: None, held: 0, end },
+                Welcome::TurnedAway,
+            ));
         }
-        let seat = Rc::new(Seat { idle: Cell::new(None), end: sender });
+        let seat = Rc::new(Seat { stands: Cell::new((Standing::Waiting, Instant::now())), end: sender });
         let number = self.next.get();
         self.next.set(number + 1);
         self.taken.borrow_mut().insert(number, seat.clone());
-        Some((Place { seats: self.clone(), number, seat: Some(seat), end }, Welcome::Served))
+        Some((Place { seats: self.clone(), number, seat: Some(seat), held: 0, end }, Welcome::Served))
     }
 }
 
 impl Place {
-    /// Notes whether the connection stands between requests.
-    pub fn idle(&self, idle: bool) {
+    /// Notes where the connection stands, since when.
+    pub fn stands(&self, standing: Standing, since: Instant) {
         if let Some(seat) = &self.seat {
-            seat.idle.set(idle.then(Instant::now));
+            seat.stands.set((standing, since));
         }
     }
 
+    /// Notes how many bytes of a message it holds; false: there is no room for so many.
+    pub fn hold(&mut self, bytes: usize) -> bool {
+        let limits = &self.seats.limits;
+        let wanted = if bytes > limits.small { bytes } else { 0 };
+        let others = self.seats.held.get() - self.held;
+        if wanted > 0 && others + wanted > limits.held {
+            return false;
+        }
+        self.seats.held.set(others + wanted);
+        self.held = wanted;
+        true
+    }
+
     /// Whether it is to end between requests.
     pub fn ends(&self) -> bool {
         self.end.is_closed()
@@ -125,6 +164,7 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
+        self.hold(0);
         match &self.seat {
             Some(_) => {
                 self.seats.taken.borrow_mut().remove(&self.number);
@@ -155,6 +195,8 @@
                     Some((place, welcome)) => serve(stream, place, welcome),
                     None => log::warn!("too many connections, and too many that are told so"),
                 }
+                // Those that were just taken are read, and those that make room end, before the next is taken.
+                future::yield_now().await;
             }
             Err(e) => {
                 // Out of descriptors or a connection that ended before it was taken: not the end of the front.
@@ -168,6 +210,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::config::Machine;
 
     /// Guards against a front that runs out of descriptors, and against clients that are shut out by idle ones.
     #[test]
@@ -176,25 +219,72 @@
         let seats = Seats::new(Rc::new(limits));
         let take = || seats.seat().map(|(place, welcome)| (place, welcome == Welcome::Served));
         let (first, second) = (take().unwrap(), take().unwrap());
+        let busy = |place: &Place| place.stands(Standing::Busy, Instant::now());
+        [&first.0, &second.0].into_iter().for_each(busy);
         assert!(first.1 && second.1);
         let turned_away = take().unwrap();
         assert!(!turned_away.1, "none is idle");
         assert!(take().is_none(), "nor is there room to say so");
         drop(turned_away);
-        second.0.idle(true);
+        second.0.stands(Standing::Idle, Instant::now());
         let third = take().unwrap();
+        busy(&third.0);
         assert!(third.1 && second.0.ends() && !first.0.ends());
         assert!(take().is_none(), "the idle one has not ended yet");
         drop(second);
         assert_eq!(seats.taken(), 2);
     }
 
+    /// Guards against hundreds of connections that say nothing and shut out those that ask.
+    #[test]
+    fn those_that_say_nothing_make_room_first() {
+        let limits = Limits { clients: 3, turned_away: 1, ..Limits::for_sockets(64) };
+        let (grace, seats) = (limits.grace, Seats::new(Rc::new(limits)));
+        let take = || seats.seat().map(|(place, _)| place).unwrap();
+        let (idle, silent, busy) = (take(), take(), take());
+        let ago = |span| Instant::now().checked_sub(span).unwrap();
+        idle.stands(Standing::Idle, ago(grace * 9));
+        busy.stands(Standing::Busy, ago(grace * 9));
+        silent.stands(Standing::Waiting, ago(grace * 2));
+        let new = take();
+        assert!(silent.ends() && !idle.ends());
+        drop(silent);
+        new.stands(Standing::Waiting, Instant::now());
+        let newer = take();
+        assert!(idle.ends() && !new.ends(), "one that has just come may still ask");
+        drop(idle);
+        newer.stands(Standing::Busy, Instant::now());
+        let _newest = take();
+        assert!(new.ends() && !busy.ends() && !newer.ends());
+    }
+
+    /// Guards against clients whose long messages together take more memory than there is.
+    #[test]
+    fn long_messages_share_one_budget() {
+        let limits = Limits { small: 10, held: 100, ..Limits::for_sockets(64) };
+        let seats = Seats::new(Rc::new(limits));
+        let take = || seats.seat().map(|(place, _)| place).unwrap();
+        let (mut one, mut two) = (take(), take());
+        assert!(one.hold(60) && two.hold(10) && two.hold(40) && one.hold(50));
+        assert!(!two.hold(51), "there is room for 50");
+        drop(one);
+        assert!(two.hold(100));
+        assert!(two.hold(0));
+        assert_eq!(seats.held.get(), 0);
+    }
+
     #[test]
     fn the_limits_add_up_to_what_the_process_may_hold() {
-        for sockets in [64, 256, 1024, 20_000] {
-            let l = Limits::for_sockets(sockets);
-            assert!(l.clients + l.turned_away + l.hosts < sockets, "{sockets}");
-            assert!(l.clients > 0 && l.turned_away > 0 && l.hosts > 0, "{sockets}");
+        for sockets in [64, 256, 384, 1024, 20_000] {
+            for machine in [Machine::operator(sockets), Machine::platform(Some(sockets), Some(32.0))] {
+                let l = Limits::on(machine);
+                assert!(l.clients + l.turned_away + l.hosts + machine.reserved <= sockets, "{machine:?}");
+                assert!(l.clients > 0 && l.turned_away > 0 && l.hosts > 0, "{machine:?}");
+                // Clients hold at most a third for requests, and each of these may have an attempt out.
+                let third = (sockets - machine.reserved) / 3;
+                assert!(l.clients >= third && l.hosts >= third, "{machine:?}");
+                assert!(l.held * 5 <= (machine.memory_mb * 1024.0 * 1024.0) as usize, "{machine:?}");
+            }
         }
     }
 }
--- a/src/net/pg/front.rs
+++ b/src/net/pg/front.rs
@@ -124,33 +124,30 @@
 
 impl Client<'_> {
     async fn hear(&mut self) -> io::Result<Heard> {
-        let idle = self.session.state() == State::Idle && !self.session.pending();
-        self.link.hear(idle, self.session.input()).await
+        let held = self.session.input().unread().len();
+        self.link.hear(held > 0, held, self.session.input()).await
     }
 
     async fn run(&mut self) -> io::Result<()> {
-        let startup = Instant::now() + self.front.limits.startup;
         loop {
             match self.session.step() {
-                Step::Wait if self.session.state() == State::Startup => {
-                    let Some(heard) = until(startup, self.hear()).await else { return Ok(()) };
-                    if matches!(heard?, Heard::Gone) {
-                        return Ok(());
-                    }
-                }
                 Step::Wait => match self.hear().await? {
                     Heard::More => {}
                     Heard::Gone => return Ok(()),
                     Heard::Ends => return self.link.linger().await,
+                    Heard::Late => return self.end("57P05", "no whole request came in time").await,
+                    Heard::Full => return self.end("53200", "no room for a message of this length").await,
                 },
                 Step::Write(bytes) => self.link.write(&bytes).await?,
                 Step::Ready => {
+                    self.link.taken();
                     let ready = async { while self.front.ready.recv().await.is_ok() {} };
                     until(Instant::now() + self.front.limits.ready, ready).await;
                     self.link.write(&Session::empty()).await?;
                     self.session.answered();
                 }
                 Step::Query(text) => {
+                    self.link.taken();
                     let Some(bytes) = self.query(&text).await? else { return Ok(()) };
                     self.link.write(&bytes).await?;
                     self.session.answered();
@@ -163,6 +160,15 @@
         }
     }
 
+    /// Says why, and ends.
+    async fn end(&mut self, code: &str, why: &str) -> io::Result<()> {
+        log::debug!("client: {why}");
+        let mut out = Vec::new();
+        codec::error(&mut out, true, code, why, None);
+        self.link.write(&out).await?;
+        self.link.linger().await
+    }
+
     /// The one answer to a statement; `None` when the client has gone.
     async fn query(&mut self, text: &str) -> io::Result<Option<Vec<u8>>> {
         let statement = match statement::parse(text) {
@@ -188,7 +194,7 @@
         };
         let last = async { Some(reply.recv().await) };
         let gone = async {
-            self.link.gone(self.session.input(), front.limits.message).await;
+            self.link.gone(self.session.input()).await;
             None
         };
         match future::or(last, gone).await {
@@ -202,7 +208,7 @@
 
     /// Tells a client that there are too many connections: a refusal, so that it may come again.
     async fn turn_away(&mut self) -> io::Result<()> {
-        let end = Instant::now() + self.front.limits.linger;
+        let end = Instant::now() + self.front.limits.linger.0;
         while self.session.state() == State::Startup {
             match self.session.step() {
                 Step::Write(bytes) if self.session.state() == State::Startup => {
--- a/src/net/pg/host.rs
+++ b/src/net/pg/host.rs
@@ -46,7 +46,7 @@
             }
             // What has begun comes whole: a host that stops in the midst of an answer has spoilt it.
             let begun = reply.begun() || !c.buffer.unread().is_empty();
-            let more = c.buffer.fill(&mut c.stream);
+            let more = c.buffer.fill(&c.stream);
             let more = match begun {
                 true => until(Instant::now() + self.limits.answer_stall, more).await.ok_or(Broken::Spoilt)?,
                 false => more.await,
--- a/src/net/sparql/front.rs
+++ b/src/net/sparql/front.rs
@@ -124,7 +124,7 @@
         };
         let last = async { Some(reply.recv().await.unwrap_or(Final::Failed { overdue: false })) };
         let gone = async {
-            link.gone(buffer, self.limits.message).await;
+            link.gone(buffer).await;
             None
         };
         let Some(last) = future::or(last, gone).await else {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -34,10 +34,15 @@
 }
 
 fn started(endpoints: &[String]) -> Setup {
+    started_with(endpoints, 1024)
+}
+
+fn started_with(endpoints: &[String], sockets: u32) -> Setup {
     let discovery = Discovery::start();
     discovery.preset(endpoints);
     let path = folder("platform").join("config.json");
-    std::fs::write(&path, config("127.0.0.1:0", discovery.address, SETTINGS)).unwrap();
+    let text = config("127.0.0.1:0", discovery.address, SETTINGS);
+    std::fs::write(&path, text.replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"))).unwrap();
     let mut daemon = Daemon::start(&[], &[("GW_CONFIG", path.to_str().unwrap())]);
     let address = daemon.address("clients at ");
     discovery.wait_for_watch();
@@ -306,6 +311,58 @@
     assert_eq!(client.ask(&write("9", 1000, ",k=1")).value.as_deref(), Some(&b"x"[..]), "it still serves");
 }
 
+/// Guards against connections that say nothing, or never a whole request: they are owed a close in time, and
+/// must not keep the seats of those that ask.
+#[test]
+fn silent_connections_make_room_and_end_in_time() {
+    let (p, r) = pair(|_| Reply::Row(b"x"));
+    let s = started_with(&both(&p, &r), 64);
+    let mut client = PgClient::connect(s.address);
+    assert_eq!(client.ask(&read("1", 1000)).code, None);
+    // As many as the pooler has descriptors; some have begun a startup or a message.
+    let beginnings =
+        [vec![], pg_startup()[..9].to_vec(), [pg_startup(), vec![b'Q', 0, 0, 1, 0, b'x']].concat()];
+    let began = std::time::Instant::now();
+    let silent: Vec<PgClient> = (0..64)
+        .map(|n| {
+            let mut silent = PgClient::raw(s.address);
+            let _ = silent.stream.write_all(&beginnings[n % 3]);
+            silent
+        })
+        .collect();
+    for n in 2..30 {
+        let mut new = PgClient::raw(s.address);
+        new.send(&[pg_startup(), pg_query(&read(&n.to_string(), 1000))].concat());
+        assert_eq!(new.answer(), Some(Answer::default()), "request {n}");
+        assert!(new.answer().unwrap().value.is_some(), "request {n}");
+    }
+    for mut one in silent {
+        while one.answer().is_some() {}
+    }
+    assert!(began.elapsed().as_millis() < 3_000, "each of them was told or closed in time");
+}
+
+/// Guards against hundreds of commands at once, and values that are read for what they claim.
+#[test]
+fn a_flood_is_answered_in_order_and_a_false_length_at_once() {
+    let (p, r) = pair(|_| Reply::Row(b"x"));
+    let s = started(&both(&p, &r));
+    let mut client = PgClient::connect(s.address);
+    let flood: Vec<u8> =
+        (0..600).flat_map(|n| pg_query(&read(&n.to_string(), 5000).replace("c=read", "c=no"))).collect();
+    let mut writer = client.stream.try_clone().unwrap();
+    let sending = std::thread::spawn(move || writer.write_all(&flood));
+    for n in 0..600 {
+        assert_eq!(client.answer().unwrap().code.as_deref(), Some("22023"), "command {n}");
+    }
+    assert!(sending.join().unwrap().is_ok());
+    let mut huge = PgClient::connect(s.address);
+    huge.send(&[b'Q', 3, 0x93, 0x87, 0]);
+    assert_eq!(huge.answer().unwrap().code.as_deref(), Some("08P01"), "none of the 60 MB had to come");
+    assert_eq!(huge.answer(), None);
+    assert_eq!(p.count() + r.count(), 0);
+}
+
 /// Guards against requests lost at a planned restart.
 #[test]
 fn sigterm_answers_all_that_was_taken_and_then_ends() {
--- a/tests/sparql.rs
+++ b/tests/sparql.rs
@@ -550,3 +550,30 @@
     assert!(running.daemon.wait().success());
     assert!(host.primary.load(Ordering::SeqCst));
 }
+
+/// Guards against connections that say nothing, or never a whole request, and keep the seats of those that ask.
+#[test]
+fn silent_connections_make_room_and_end_in_time() {
+    let primary = Host::plain(true, 0);
+    let folder = files("silent", &[("p", primary.address)], &[]);
+    let file = folder.join("operator.yaml");
+    let text = std::fs::read_to_string(&file).unwrap().replace("sockets: 1024", "sockets: 96");
+    std::fs::write(&file, text).unwrap();
+    let running = start(&folder);
+    let began = std::time::Instant::now();
+    let beginnings = ["", "GET /sp", "POST /sparql HTTP/1.1\r\nHost: b\r\nContent-Length: 900\r\n\r\nhalf"];
+    let silent: Vec<HttpClient> = (0..64)
+        .map(|n| {
+            let mut silent = HttpClient::connect(running.front);
+            let _ = silent.reader.get_mut().write_all(beginnings[n % 3].as_bytes());
+            silent
+        })
+        .collect();
+    for n in 0..30 {
+        assert_eq!(call(running.front, &update("")).status(), 200, "request {n}");
+    }
+    for mut one in silent {
+        while read_http(&mut one.reader).is_some() {}
+    }
+    assert!(began.elapsed().as_millis() < 3_000, "each of them was told or closed in time");
+}
