--- a/src/choice.rs
+++ b/src/choice.rs
@@ -704,8 +704,8 @@
             }
             // Errors between good answers, or on what erred elsewhere, follow the request, key or tenant.
             Outcome::Error if erred || m.errors + 1 < ERRORS => m.errors += u32::from(!erred),
-            // One connection that broke says little of the member behind it: if that is down, the next attempt
-            // finds no connection, or more of those that are out break.
+            // One connection that broke says little of the member behind it: if that is down, the next
+            // attempt finds no connection, or more of those that are out break.
             Outcome::Reset if m.errors + 1 < ERRORS => m.errors += 1,
             Outcome::Full | Outcome::Error => {
                 self.shrink(now, member, class.map(|c| self.latency[c]));
