Keep several requests of one connection open together, answered in their order

Faulty lines: Client::run in src/net/pg/front.rs took one query and did not look at the next before its answer, while that one's time counted from its last byte.

Change: the front keeps what it owes in a queue; up to 64 requests of a connection are open, within the bytes that the memory allows; an answer waits only for those before it.

--- a/src/config.rs
+++ b/src/config.rs
@@ -19,8 +19,11 @@
     pub small: usize,
     /// Bytes that the longer messages of all clients may hold together.
     pub held: usize,
-    /// Bytes that are read of what a client sends behind a request that is still open.
+    /// Bytes that are read of what a client sends behind requests that are still open, and the length of these
+    /// from which on no further one is taken.
     pub ahead: usize,
+    /// Requests of one connection that may be open at once.
+    pub pipeline: usize,
     /// The longest startup message of a client.
     pub startup_message: usize,
     /// The longest message of a client.
@@ -130,6 +133,7 @@
         let free = sockets.saturating_sub(reserved).max(16);
         // An open request needs one connection on each side; idle and silent ones pile up on the clients'.
         let (clients, turned_away) = (free / 2, free / 16);
+        let eighth = (memory_mb * 1024.0 * 1024.0 / 8.0) as usize;
         Limits {
             clients,
             turned_away,
@@ -137,8 +141,9 @@
             requests: 4096,
             // A long statement is held up to five times on its way: read, taken, numbered, written out.
             small: 16 * 1024,
-            held: (memory_mb * 1024.0 * 1024.0 / 8.0) as usize,
-            ahead: 16 * 1024,
+            held: eighth,
+            ahead: (eighth / clients).clamp(8 * 1024, 64 * 1024),
+            pipeline: 64,
             queue: 1024,
             startup_message: 10_000,
             // Values hold 64 KiB at the most; in a statement each byte takes two digits.
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -111,14 +111,18 @@
         heard
     }
 
+    /// Reads once behind requests that are open; false: the client has gone. Comes back no more once
+    /// `Limits::ahead` bytes wait.
+    pub async fn more(&mut self, into: &mut Buffer) -> bool {
+        if into.unread().len() > self.limits.ahead {
+            future::pending::<()>().await;
+        }
+        matches!(self.read(into).await, Ok(n) if n > 0)
+    }
+
     /// Comes back when the client has gone. What it sends meanwhile is kept, up to `Limits::ahead`.
     pub async fn gone(&mut self, into: &mut Buffer) {
-        while into.unread().len() <= self.limits.ahead {
-            if !matches!(self.read(into).await, Ok(n) if n > 0) {
-                return;
-            }
-        }
-        future::pending().await
+        while self.more(into).await {}
     }
 
     /// Closes so that what was written arrives: a close over unread bytes would reset the connection. What
--- a/src/net/pg/front.rs
+++ b/src/net/pg/front.rs
@@ -14,7 +14,7 @@
 use async_io::Async;
 use futures_lite::future;
 use std::cell::RefCell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -59,6 +59,29 @@
     front: &'a Front,
     link: Link,
     session: Session,
+    /// What is owed, in the order of the commands.
+    due: VecDeque<Due>,
+}
+
+/// An answer that is owed.
+enum Due {
+    /// These bytes.
+    Bytes(Vec<u8>),
+    /// The answer to the readiness query.
+    Ready,
+    /// A request's final answer, once it is there.
+    Last(Open),
+    /// These bytes, then the end.
+    End(Vec<u8>),
+}
+
+/// A request that is open.
+struct Open {
+    id: RequestId,
+    reply: Receiver<Final<Vec<u8>>>,
+    /// Bytes of its statement.
+    length: usize,
+    _id: OpenId,
 }
 
 impl Front {
@@ -66,7 +89,7 @@
     pub async fn serve(&self, stream: Async<TcpStream>, place: Place, welcome: Welcome) {
         let session = Session::new(&self.limits);
         let link = Link::new(stream, place, self.limits.clone(), self.handle.clock().clone());
-        let mut client = Client { front: self, link, session };
+        let mut client = Client { front: self, link, session, due: VecDeque::new() };
         let served = match welcome {
             Welcome::Served => client.run().await,
             Welcome::TurnedAway => client.turn_away().await,
@@ -74,6 +97,12 @@
         if let Err(e) = served {
             log::debug!("client: {e}");
         }
+        // Nobody waits any more for what is still open.
+        for due in client.due {
+            if let Due::Last(open) = due {
+                self.handle.input(Input::Lapsed(open.id)).await;
+            }
+        }
     }
 
     fn ask(&self, s: &Statement) -> Option<Ask> {
@@ -128,38 +157,91 @@
         self.link.hear(held > 0, held, self.session.input()).await
     }
 
+    /// Takes commands as they come and answers them in their order. Several may be open at once: what a client
+    /// writes behind another request has its own time, and must not lose it in waiting for that one.
     async fn run(&mut self) -> io::Result<()> {
         loop {
-            match self.session.step() {
-                Step::Wait => match self.hear().await? {
+            self.take().await;
+            match self.due.front() {
+                None => match self.hear().await? {
                     Heard::More => {}
                     Heard::Gone => return Ok(()),
                     Heard::Ends => return self.link.linger().await,
                     Heard::Late => return self.end("57P05", "no whole request came in time").await,
                     Heard::Full => return self.end("53200", "no room for a message of this length").await,
                 },
-                Step::Write(bytes) => self.link.write(&bytes).await?,
-                Step::Ready => {
-                    self.link.taken();
+                Some(Due::Bytes(bytes)) => {
+                    self.link.write(bytes).await?;
+                    self.due.pop_front();
+                }
+                Some(Due::Ready) => {
                     let ready = async { while self.front.ready.recv().await.is_ok() {} };
                     until(Instant::now() + self.front.limits.ready, ready).await;
-                    self.link.write(&Session::empty()).await?;
-                    self.session.answered();
+                    self.answer(&Session::empty()).await?;
                 }
-                Step::Query(text) => {
-                    self.link.taken();
-                    let Some(bytes) = self.query(&text).await? else { return Ok(()) };
-                    self.link.write(&bytes).await?;
-                    self.session.answered();
+                Some(Due::Last(open)) => {
+                    let last = async { Ok(open.reply.recv().await) };
+                    let (link, input) = (&mut self.link, self.session.input());
+                    let more = async { Err(link.more(input).await) };
+                    // An answer that has come is written before more is read.
+                    match future::or(last, more).await {
+                        Ok(last) => {
+                            let last = last.unwrap_or(Final::Failed { overdue: false });
+                            self.answer(&answer(last)).await?;
+                        }
+                        Err(true) => {}
+                        Err(false) => return Ok(()),
+                    }
                 }
-                Step::Close(bytes) => {
-                    self.link.write(&bytes).await?;
+                Some(Due::End(bytes)) => {
+                    self.link.write(bytes).await?;
                     return self.link.linger().await;
                 }
             }
         }
     }
 
+    /// Answers the oldest open request.
+    async fn answer(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.link.write(bytes).await?;
+        self.due.pop_front();
+        self.session.answered();
+        Ok(())
+    }
+
+    /// Takes what has come whole, within the limits of a connection.
+    async fn take(&mut self) {
+        loop {
+            let long = |due: &Due| if let Due::Last(open) = due { open.length } else { 0 };
+            // Answers to bad input are many and short; those of requests are bounded by the session.
+            if self.due.iter().map(long).sum::<usize>() > self.front.limits.ahead
+                || self.due.len() > self.front.limits.pipeline * 2
+            {
+                return;
+            }
+            let due = match self.session.step() {
+                Step::Wait => return,
+                Step::Write(bytes) => Due::Bytes(bytes),
+                Step::Close(bytes) => Due::End(bytes),
+                Step::Ready => {
+                    self.link.taken();
+                    Due::Ready
+                }
+                Step::Query(text) => {
+                    self.link.taken();
+                    match self.query(&text).await {
+                        Ok(open) => Due::Last(open),
+                        Err(bytes) => {
+                            self.session.answered();
+                            Due::Bytes(bytes)
+                        }
+                    }
+                }
+            };
+            self.due.push_back(due);
+        }
+    }
+
     /// Says why, and ends.
     async fn end(&mut self, code: &str, why: &str) -> io::Result<()> {
         log::debug!("client: {why}");
@@ -169,41 +251,27 @@
         self.link.linger().await
     }
 
-    /// The one answer to a statement; `None` when the client has gone.
-    async fn query(&mut self, text: &str) -> io::Result<Option<Vec<u8>>> {
-        let statement = match statement::parse(text) {
-            Ok(statement) => statement,
-            Err(why) => {
-                log::warn!("client: {why}");
-                return Ok(Some(failure("42601", &why)));
-            }
-        };
+    /// Hands in a statement; the error is its answer at once.
+    async fn query(&self, text: &str) -> Result<Open, Vec<u8>> {
+        let statement = statement::parse(text).map_err(|why| {
+            log::warn!("client: {why}");
+            failure("42601", &why)
+        })?;
         let Some(ask) = self.front.ask(&statement) else {
             log::warn!("client: unknown class {:?}", statement.class);
-            return Ok(Some(failure("22023", "unknown class")));
+            return Err(failure("22023", "unknown class"));
         };
-        let Some(_open) = self.front.open.take(&statement.id) else {
+        let Some(own) = self.front.open.take(&statement.id) else {
             log::warn!("client: the id of another open request");
-            return Ok(Some(failure("42710", "a request with this id is open")));
+            return Err(failure("42710", "a request with this id is open"));
         };
-        let margin = self.front.limits.margin.as_micros() as Micros;
+        let limits = &self.front.limits;
+        let margin = limits.margin.as_micros() as Micros;
         let deadline = self.link.read_at + (statement.patience - margin).max(0);
-        let front = self.front;
-        let Some((id, reply)) = front.handle.submit(ask, deadline, Arc::new(statement)).await else {
-            return Ok(Some(refusal("the pooler is ending", Some(front.limits.again.as_millis() as i64))));
-        };
-        let last = async { Some(reply.recv().await) };
-        let gone = async {
-            self.link.gone(self.session.input()).await;
-            None
-        };
-        match future::or(last, gone).await {
-            Some(last) => Ok(Some(answer(last.unwrap_or(Final::Failed { overdue: false })))),
-            None => {
-                front.handle.input(Input::Lapsed(id)).await;
-                Ok(None)
-            }
-        }
+        let submitted = self.front.handle.submit(ask, deadline, Arc::new(statement)).await;
+        let again = || refusal("the pooler is ending", Some(limits.again.as_millis() as i64));
+        let (id, reply) = submitted.ok_or_else(again)?;
+        Ok(Open { id, reply, length: text.len(), _id: own })
     }
 
     /// Tells a client that there are too many connections: a refusal, so that it may come again.
--- a/src/net/pg/session.rs
+++ b/src/net/pg/session.rs
@@ -9,10 +9,8 @@
 pub enum State {
     /// Before its startup message.
     Startup,
-    /// Between requests.
+    /// Taking requests.
     Idle,
-    /// A request is being answered.
-    Busy,
     /// After an error in the extended protocol: all is passed over until Sync.
     Skipping,
     /// Over.
@@ -26,9 +24,9 @@
     Wait,
     /// Write this.
     Write(Vec<u8>),
-    /// The readiness query: answer with [`Session::empty`] when ready.
+    /// The readiness query: answer with [`Session::empty`] in its turn and when ready.
     Ready,
-    /// A request: answer it, then call [`Session::answered`].
+    /// A request: answer it in its turn, then call [`Session::answered`].
     Query(String),
     /// Write this, then close.
     Close(Vec<u8>),
@@ -40,13 +38,16 @@
     buffer: Buffer,
     most: usize,
     startup: usize,
+    /// Requests that are not answered yet, and how many there may be.
+    open: usize,
+    most_open: usize,
 }
 
 impl Session {
     /// A connection that was just taken.
     pub fn new(limits: &Limits) -> Session {
-        let (most, startup) = (limits.message, limits.startup_message);
-        Session { state: State::Startup, buffer: Buffer::default(), most, startup }
+        let Limits { message: most, startup_message: startup, pipeline: most_open, .. } = *limits;
+        Session { state: State::Startup, buffer: Buffer::default(), most, startup, open: 0, most_open }
     }
 
     /// Where it stands.
@@ -59,16 +60,9 @@
         &mut self.buffer
     }
 
-    /// Whether bytes wait to be looked at.
-    pub fn pending(&self) -> bool {
-        !self.buffer.unread().is_empty()
-    }
-
-    /// The request has its answer.
+    /// The oldest open request has its answer.
     pub fn answered(&mut self) {
-        if self.state == State::Busy {
-            self.state = State::Idle;
-        }
+        self.open = self.open.saturating_sub(1);
     }
 
     /// The answer to the readiness query.
@@ -83,8 +77,8 @@
     pub fn step(&mut self) -> Step {
         let step = match self.state {
             State::Startup => self.begin(),
-            State::Idle | State::Skipping => self.next(),
-            State::Busy | State::Closed => Ok(Step::Wait),
+            State::Idle | State::Skipping if self.open < self.most_open => self.next(),
+            State::Idle | State::Skipping | State::Closed => Ok(Step::Wait),
         };
         step.unwrap_or_else(|Malformed(why)| {
             log::warn!("client: {why}");
@@ -139,7 +133,7 @@
                 _ if skipping => None,
                 b'Q' => {
                     let text = codec::query_text(body)?;
-                    self.state = State::Busy;
+                    self.open += 1;
                     if text.trim().is_empty() {
                         Some(Step::Ready)
                     } else {
