Serve on after SIGTERM where no other pooler can take the clients, and answer all at the end

Faulty lines: until_drained in src/daemon/mod.rs closed idle connections after Limits::lame in every case. Checked: the settings' deadline (1.11 s) against the stop (1.61 s after SIGTERM, deadlines on the wire 0.93 s): the kill follows what clients give, so that is what the core now remembers.

--- a/src/config.rs
+++ b/src/config.rs
@@ -1,5 +1,6 @@
 //! Limits of the program, filled once at start and handed down.
 
+use crate::interface::Micros;
 use std::time::Duration;
 
 /// Every size, count and time that bounds what the program does.
@@ -84,10 +85,12 @@
     pub accept: Duration,
     /// Time between two looks at files, and between two exchanges with a peer of the store.
     pub period: Duration,
-    /// After SIGTERM new connections are taken for this long.
+    /// After SIGTERM connections are taken, and those that stand idle kept, for this long.
     pub lame: Duration,
-    /// After SIGTERM the program ends at the latest after this.
+    /// Longer deadlines of clients are not waited for after SIGTERM.
     pub drain: Duration,
+    /// So long before that what is still open gets its final answer all the same.
+    pub last_answers: Duration,
     /// An answer to the readiness query waits at most this long for the first list.
     pub ready: Duration,
 }
@@ -119,6 +122,8 @@
 
 /// Memory where nothing is said of it.
 const MEMORY_MB: f64 = 192.0;
+/// A pooler that is alone takes nothing new for so long before its end.
+const LAST_CALL: Duration = Duration::from_millis(250);
 /// The longest value.
 const VALUE: usize = 64 * 1024;
 
@@ -176,10 +181,20 @@
             accept: Duration::from_millis(5),
             period: Duration::from_millis(500),
             lame: Duration::from_millis(450),
-            drain: Duration::from_millis(3100),
+            drain: Duration::from_secs(3),
+            last_answers: Duration::from_millis(100),
             ready: Duration::from_millis(500),
         }
     }
+    /// How long after SIGTERM connections are taken and idle ones kept, and when the program ends, where no
+    /// client has given a request longer than `patience`. One that is `alone` has nobody to leave its clients
+    /// to: it serves those that it has for as long as what they ask can still be answered.
+    pub fn ending(&self, patience: Option<Micros>, alone: bool) -> (Duration, Duration) {
+        let patience = Duration::from_micros(patience.unwrap_or(0).max(0) as u64).min(self.drain);
+        // Killed no sooner than the longest deadline and 0.7 s more after SIGTERM.
+        let end = patience.max(self.lame) + Duration::from_millis(550);
+        (if alone { self.lame.max(end.saturating_sub(LAST_CALL)) } else { self.lame }, end)
+    }
     /// Hosts close connections that stood idle for so many seconds; ours go well before: a request that
     /// crosses such a close may have run.
     pub fn hosts_idle_for(&mut self, seconds: Option<f64>) {
@@ -188,3 +203,24 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against an end that comes after SIGKILL, and against one that leaves clients alone for nothing.
+    #[test]
+    fn the_end_comes_before_the_kill_and_only_one_that_is_alone_serves_on() {
+        let limits = Limits::for_sockets(64);
+        for patience in
+            [None, Some(-5), Some(1), Some(400_000), Some(930_000), Some(2_500_000), Some(Micros::MAX)]
+        {
+            let (lame, end) = limits.ending(patience, true);
+            let deadline = Duration::from_micros(patience.unwrap_or(0).clamp(450_000, 3_000_000) as u64);
+            assert!(end < deadline + Duration::from_millis(700), "{patience:?}");
+            assert!(lame >= limits.lame && lame + limits.last_answers < end, "{patience:?}");
+            assert_eq!(limits.ending(patience, false), (limits.lame, end), "{patience:?}");
+        }
+        assert!(limits.ending(Some(2_500_000), true).0 > Duration::from_secs(2));
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,7 +16,7 @@
 use members::{Host, Listing};
 use owner::Owner;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 
 /// The one final answer to a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -115,6 +115,8 @@
         /// It was remembered from before the start.
         cached: bool,
     },
+    /// Whatever is open gets its final answer now: the program ends.
+    End,
     /// End the thread.
     Stop,
 }
@@ -183,6 +185,8 @@
     inputs: Sender<Input<W, A>>,
     control: Sender<Control>,
     next: Arc<AtomicU64>,
+    /// The longest time that a client gave a request.
+    patience: Arc<AtomicI64>,
     clock: Clock,
 }
 
@@ -192,6 +196,7 @@
             inputs: self.inputs.clone(),
             control: self.control.clone(),
             next: self.next.clone(),
+            patience: self.patience.clone(),
             clock: self.clock.clone(),
         }
     }
@@ -211,12 +216,18 @@
         work: W,
     ) -> Option<(RequestId, Receiver<Final<A>>)> {
         let id = self.next.fetch_add(1, Ordering::Relaxed);
+        self.patience.fetch_max(deadline - self.clock.now(), Ordering::Relaxed);
         let (reply, answer) = async_channel::bounded(1);
         let request = Submission { ask: Ask { id, ..ask }, deadline, work, reply };
         self.inputs.send(Input::Request(request)).await.ok()?;
         Some((id, answer))
     }
 
+    /// The longest time that a client has given a request; `None` before the first.
+    pub fn patience(&self) -> Option<Micros> {
+        Some(self.patience.load(Ordering::Relaxed)).filter(|p| *p > 0)
+    }
+
     /// Whether inputs wait.
     pub fn backlog(&self) -> usize {
         self.inputs.len()
@@ -255,7 +266,8 @@
     let own_clock = clock.clone();
     let thread = std::thread::Builder::new().name("module".into());
     thread.spawn(move || run(owner, &own_clock, &urgent, &queue, &commands))?;
-    Ok((Handle { inputs, control, next: Arc::new(AtomicU64::new(1)), clock }, out))
+    let (next, patience) = (Arc::new(AtomicU64::new(1)), Arc::default());
+    Ok((Handle { inputs, control, next, patience, clock }, out))
 }
 
 enum Woken<W, A> {
@@ -295,6 +307,7 @@
             Woken::Control(Control::List { list, cached }) => {
                 owner.list(clock.now(), &list, cached, &mut out)
             }
+            Woken::Control(Control::End) => owner.end(clock.now(), &mut out),
             Woken::Input(input) => owner.input(clock.now(), input, &mut out),
             Woken::Timer => {}
             Woken::Control(Control::Stop) | Woken::Over => return,
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -197,6 +197,22 @@
         self.tell(now, Event::Settled(event), commands);
     }
 
+    /// Answers all that is open: the program ends, and what it took and left unanswered would be lost. What no
+    /// attempt was made for may be asked again.
+    pub fn end(&mut self, now: Micros, commands: &mut Vec<Command<W>>) {
+        let open: Vec<(RequestId, u8)> = self.open.iter().map(|(id, open)| (*id, open.attempts)).collect();
+        for (id, attempts) in open {
+            self.finish(
+                id,
+                match attempts {
+                    0 => Final::Refused { retry_in: None, overdue: false },
+                    _ => Final::Failed { overdue: false },
+                },
+            );
+            self.tell(now, Event::Lapsed { id }, commands);
+        }
+    }
+
     /// A load report, or an empty one where its position cannot be.
     fn credible(&self, now: Micros, report: Report) -> Report {
         let n = self.settings.report_fields.iter().position(|f| f == "x0");
@@ -446,6 +462,24 @@
         assert_eq!(answer.try_recv(), Ok(Final::UnknownGroup));
     }
 
+    /// Guards against requests that are lost at the end of the program.
+    #[test]
+    fn at_the_end_all_that_is_open_is_answered() {
+        let (mut owner, mut out) = owner();
+        let (input, sent) = request(1, None);
+        owner.input(2_000, input, &mut out);
+        let draining = Listing { index: 2, whole: true, entries: Vec::new() };
+        owner.list(2_500, &draining, false, &mut out);
+        let (input, held) = request(2, None);
+        owner.input(3_000, input, &mut out);
+        assert!(held.try_recv().is_err() && sent.try_recv().is_err());
+        out.clear();
+        owner.end(4_000, &mut out);
+        assert_eq!(sent.try_recv(), Ok(Final::Failed { overdue: false }));
+        assert_eq!(held.try_recv(), Ok(Final::Refused { retry_in: None, overdue: false }));
+        assert_eq!((owner.open(), out), (0, vec![Command::Cancel { id: 1, attempt: 0 }]));
+    }
+
     /// Guards against a position or a report out of this world: it would pass for fresh for ever.
     #[test]
     fn a_host_that_claims_to_be_ahead_of_the_present_is_not_believed() {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -5,7 +5,7 @@
 pub mod platform;
 
 use crate::config::Limits;
-use crate::core::{Command, Handle};
+use crate::core::{Command, Control, Handle};
 use crate::net::hosts::{Hosts, Wire};
 use crate::net::listen::{self, Place, Seats, Welcome};
 use crate::net::until;
@@ -78,9 +78,11 @@
 }
 
 /// Serves until SIGTERM, then until all that was taken is answered; an error if the core ends before.
-pub async fn until_drained(
+pub async fn until_drained<W, A>(
     limits: &Limits,
     seats: &Seats,
+    handle: &Handle<W, A>,
+    alone: bool,
     accepting: Task<()>,
     carrying: Task<()>,
 ) -> Result<(), String> {
@@ -92,12 +94,18 @@
     let drained = async {
         signalled(&mut signals).await;
         let began = Instant::now();
-        log::info!("SIGTERM: draining");
-        // The front layer deals out connections a little longer; all that comes is taken and answered.
-        Timer::after(limits.lame).await;
+        let (lame, end) = limits.ending(handle.patience(), alone);
+        let end = began + end;
+        log::info!("SIGTERM: draining, serving for {lame:?} more");
+        // The front layer deals out connections a little longer, and clients use those that they have for as
+        // long as these stay open; all that comes is taken and answered.
+        Timer::at(began + lame).await;
         accepting.cancel().await;
         seats.close();
-        until(began + limits.drain, seats.emptied()).await;
+        if until(end - limits.last_answers, seats.emptied()).await.is_none() {
+            handle.control(Control::End).await;
+            until(end, seats.emptied()).await;
+        }
         log::info!("drained, {} connections left", seats.taken());
         Ok(())
     };
--- a/src/daemon/operator.rs
+++ b/src/daemon/operator.rs
@@ -201,11 +201,12 @@
     let at = listener.get_ref().local_addr().unwrap_or(operator.listen);
     log::info!("{}: SPARQL at http://{at}{}", operator.name, operator.service.path);
     let service = operator.service.clone();
+    let ending = handle.clone();
     let front = Rc::new(Front { limits: limits.clone(), handle, classes, service, ready });
     let seats = Seats::new(limits.clone());
     let accepting = accept(&executor, listener, &seats, move |stream, place, welcome| {
         let front = front.clone();
         async move { front.serve(stream, place, welcome).await }
     });
-    until_drained(&limits, &seats, accepting, carrying).await
+    until_drained(&limits, &seats, &ending, false, accepting, carrying).await
 }
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -61,6 +61,7 @@
     let limits = Rc::new(limits(&platform));
     let clock = Clock::start();
     let mut settings = platform.settings;
+    let alone = settings.drivers == Some(1);
     let classes = Classes::new(platform.classes, &mut settings);
     let fields = settings.report_fields.clone();
     let (handle, commands) =
@@ -83,6 +84,12 @@
     };
     let at = listener.get_ref().local_addr().unwrap_or(platform.listen);
     log::info!("{}: clients at {at}, discovery at {}", platform.name, platform.discovery);
+    log::info!(
+        "at most {} clients, {} connections to hosts, {} KiB of long messages",
+        limits.clients,
+        limits.hosts,
+        limits.held / 1024
+    );
 
     let (fetch, asked) = async_channel::bounded(1);
     let discovery = Rc::new(Cell::new(platform.discovery));
@@ -125,11 +132,12 @@
         Command::FetchList => drop(fetch.try_send(())),
         _ => {}
     });
+    let ending = handle.clone();
     let front = Rc::new(Front { limits: limits.clone(), handle, classes, ready, open: Default::default() });
     let seats = listen::Seats::new(limits.clone());
     let accepting = accept(&executor, listener, &seats, move |stream, place, welcome| {
         let front = front.clone();
         async move { front.serve(stream, place, welcome).await }
     });
-    until_drained(&limits, &seats, accepting, carrying).await
+    until_drained(&limits, &seats, &ending, alone, accepting, carrying).await
 }
