Forget hosts, groups, sessions and tombstones that are gone

Observed on rereading: Members (src/core/members.rs) kept ids, hosts and entries of every host that a list ever named, Hosts (src/net/hosts.rs) a gate and a pool for each, Router its member, the store a tombstone, and Router::sessions grew with every session that wrote.

Change: each map forgets what is gone; a member whose attempts are out stays until they are settled, or its request would have no end; an epoch is never given twice, or a pool of a host's earlier life would be kept. A send to a host that no list names any more is one that could not connect, not a second copy.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,6 +38,10 @@
 const BUDGET: f64 = 0.8;
 /// Clients are asked to come back after so many aims of the class: crowds and failovers last that long.
 const HINT: Micros = 4;
+/// A member that is gone and has not answered for so long is forgotten.
+const FORGET: Micros = 30_000_000;
+/// Sessions whose last commit is remembered one by one.
+const SESSIONS: usize = 50_000;
 /// Weight in the draw of a member in another zone, against one in this driver's own.
 const FAR: f64 = 0.6;
 /// Aim of a class and attempts for a request where the settings do not say.
@@ -204,6 +208,8 @@
     latency: Vec<f64>,
     /// Last commit seen for each session, where the router must remember them.
     sessions: BTreeMap<u64, Micros>,
+    /// The last commit of any session that is remembered no more.
+    forgotten: Option<Micros>,
     /// Good answers, the size of all members, and the most that one unit of it has given, per microsecond.
     served: Rate,
     units: f64,
@@ -230,6 +236,7 @@
             requests: BTreeMap::new(),
             latency,
             sessions: BTreeMap::new(),
+            forgotten: None,
             served: Rate::default(),
             units: 0.0,
             peak: 0.0,
@@ -298,6 +305,7 @@
         for e in entries {
             self.entry(now, e);
         }
+        self.forget(now);
         if !std::mem::replace(&mut self.greeted, true) {
             let subscribes = self.settings.must_subscribe == Some(true);
             out.extend(subscribes.then_some(Action::Subscribe { on: true }));
@@ -308,6 +316,32 @@
         }
     }
 
+    /// Members are replaced for as long as the router runs: what is gone for good is not kept.
+    fn forget(&mut self, now: Micros) {
+        let old = |m: &Member| m.out.is_empty() && m.heard.is_none_or(|t| now - t > FORGET);
+        self.members.retain(|_, m| m.availability != Availability::Gone || !old(m));
+        let used = |g: &Group| !(g.members.is_empty() && g.writes.is_empty() && g.reads.is_empty());
+        self.groups.retain(|_, g| used(g) || g.scout.is_some());
+    }
+
+    /// The last commit of a session, kept for reads that follow. The older half goes when there are too many;
+    /// a session that is no longer known must see whatever one of them has written.
+    fn remember(&mut self, session: u64, commit: Micros) {
+        let last = self.sessions.entry(session).or_insert(commit);
+        *last = commit.max(*last);
+        if self.sessions.len() > SESSIONS {
+            let mut commits: Vec<Micros> = self.sessions.values().copied().collect();
+            let middle = *commits.select_nth_unstable(SESSIONS / 2).1;
+            self.sessions.retain(|_, commit| *commit > middle);
+            self.forgotten = self.forgotten.max(Some(middle));
+        }
+    }
+
+    /// How many members, groups, requests and sessions it keeps.
+    pub fn kept(&self) -> [usize; 4] {
+        [self.members.len(), self.groups.len(), self.requests.len(), self.sessions.len()]
+    }
+
     fn entry(&mut self, now: Micros, e: &Entry) {
         let m = self.members.entry(e.member).or_insert_with(|| Member {
             group: e.group,
@@ -411,14 +445,16 @@
         if g.scout.is_none() {
             let first = g.primary.or(g.members.first().copied())?;
             g.primary = Some(first);
-            let m = &self.members[&first];
-            if m.suspect {
+            let m = self.members.get(&first);
+            if m.is_some_and(|m| m.suspect) {
                 // It takes work and answers nothing: unreachable for new writes until it answers.
                 self.hold_group(now, group);
                 return None;
             }
-            let reached = !m.unreachable || Some(now) >= m.shunned_until;
-            if m.availability == Availability::Ready && m.role != Some(false) && reached {
+            let reached = |m: &&Member| !m.unreachable || Some(now) >= m.shunned_until;
+            if m.filter(reached)
+                .is_some_and(|m| m.availability == Availability::Ready && m.role != Some(false))
+            {
                 return self.takes(now, first).then_some(first);
             }
             // The believed primary is out: this write alone walks the ring for its group.
@@ -531,7 +567,7 @@
             }
         }
         let primary = g.primary.filter(|p| !r.attempts.iter().any(|a| a.member == *p && a.open))?;
-        let m = &self.members[&primary];
+        let m = self.members.get(&primary)?;
         // Where members answer from whatever they hold, only one that is known to have been primary is safe.
         let proven = m.role == Some(true) || m.role.is_none() && (self.checks() || m.listed_primary);
         // Reads may take half of what the primary bears, none while it answers late or writes wait for it.
@@ -626,7 +662,7 @@
             end: if c.late_worth > Some(0.0) { deadline } else { aim_at.min(deadline) },
             deadline,
             commit: match self.settings.session_marks {
-                Some(SessionMarks::Remembered) => self.sessions.get(&session).copied(),
+                Some(SessionMarks::Remembered) => self.sessions.get(&session).copied().or(self.forgotten),
                 _ => token_age.map(|age| now - age),
             },
             session,
@@ -730,8 +766,8 @@
             let remembers = r.writes && self.settings.session_marks == Some(SessionMarks::Remembered);
             if let (Outcome::Ok, Some(mark), true) = (outcome, mark, remembers) {
                 let commit = self.settings.zero.unwrap_or(0) + mark.position;
-                let last = self.sessions.entry(r.session).or_insert(commit);
-                *last = commit.max(*last);
+                let session = r.session;
+                self.remember(session, commit);
             }
             self.finish(id, out);
             return;
--- a/src/core/members.rs
+++ b/src/core/members.rs
@@ -50,11 +50,18 @@
     pub open: bool,
     /// When it last started; a change means that old connections are dead.
     pub started_at: Option<Micros>,
+    /// No list names it any more: nothing of it need be kept.
+    pub gone: bool,
 }
 
-/// The hosts that a list has ever named.
+/// Groups that are remembered though no host of theirs is left.
+const GROUPS: usize = 1024;
+
+/// The hosts of the list. One that is gone is forgotten: hosts are replaced for as long as the program runs.
 #[derive(Default)]
 pub struct Members {
+    /// Every group that a list has named: one that has lost all its hosts may get others.
+    groups: BTreeSet<u32>,
     ids: BTreeMap<String, MemberId>,
     hosts: BTreeMap<MemberId, Host>,
     entries: BTreeMap<MemberId, Entry>,
@@ -99,7 +106,9 @@
                 address: e.address,
                 open: e.availability == Availability::Ready,
                 started_at: e.started_at,
+                gone: e.availability == Availability::Gone,
             };
+            self.groups.insert(e.group);
             if self.hosts.get(&member) != Some(&host) {
                 changed.push(host.clone());
                 self.hosts.insert(member, host);
@@ -117,16 +126,21 @@
             entries.push(entry);
         }
         if list.whole {
-            let named: BTreeSet<&str> = list.entries.iter().map(|e| e.name.as_str()).collect();
-            for host in self.hosts.values_mut().filter(|h| h.open && !named.contains(h.name.as_str())) {
-                host.open = false;
+            let named: BTreeSet<MemberId> = entries.iter().map(|e| e.member).collect();
+            for host in self.hosts.iter_mut().filter(|(id, _)| !named.contains(id)).map(|(_, host)| host) {
+                (host.open, host.gone) = (false, true);
                 changed.push(host.clone());
             }
-            let named: BTreeSet<MemberId> = entries.iter().map(|e| e.member).collect();
-            for (_, entry) in self.entries.iter_mut().filter(|(id, _)| !named.contains(id)) {
-                entry.availability = Availability::Gone;
+        }
+        for host in changed.iter().filter(|h| h.gone) {
+            if let Some(id) = self.ids.remove(&host.name) {
+                self.hosts.remove(&id);
+                self.entries.remove(&id);
             }
         }
+        if self.groups.len() > GROUPS {
+            self.groups = self.entries.values().map(|e| e.group).collect();
+        }
         let kind = match (cached, list.whole) {
             (true, _) => ListKind::Cached,
             (false, true) => ListKind::Full,
@@ -142,13 +156,12 @@
 
     /// Whether a group can be served: false only where a list is known and names no such group.
     pub fn knows_group(&self, group: u32) -> bool {
-        self.entries.is_empty() || self.entries.values().any(|e| e.group == group)
+        self.groups.is_empty() || self.groups.contains(&group)
     }
 
     /// The whole list as it is held now.
     pub fn entries(&self) -> Vec<Entry> {
-        let there = |e: &&Entry| e.availability != Availability::Gone;
-        self.entries.values().filter(there).copied().collect()
+        self.entries.values().copied().collect()
     }
 }
 
@@ -188,6 +201,23 @@
         assert_ne!(ids[0], ids[1]);
     }
 
+    /// Guards against memory that grows with every host that was ever replaced.
+    #[test]
+    fn hosts_that_are_gone_are_forgotten() {
+        let mut m = Members::default();
+        for n in 0..1000 {
+            let (old, new) = (format!("h{n}"), format!("h{}", n + 1));
+            let whole = n % 2 == 0;
+            let leaves = (!whole).then(|| line(&old, Availability::Gone));
+            let entries = leaves.into_iter().chain([line(&new, Availability::Ready)]).collect();
+            let (.., changed) = m.apply(&Listing { index: n, whole, entries }, false);
+            assert_eq!(changed.iter().filter(|h| h.gone && h.name == old).count(), usize::from(n > 0), "{n}");
+            assert_eq!((m.ids.len(), m.hosts.len(), m.entries.len()), (1, 1, 1), "{n}");
+        }
+        m.apply(&Listing { index: 1001, whole: true, entries: Vec::new() }, false);
+        assert!(m.hosts.is_empty() && m.knows_group(1) && !m.knows_group(2));
+    }
+
     /// Guards against sends to a host that a whole list no longer names.
     #[test]
     fn a_host_that_drops_out_of_a_whole_list_is_closed() {
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -326,14 +326,15 @@
         let out = self.out.range((id, 0)..=(id, u8::MAX)).next().is_some();
         let host = self.members.host(member).filter(|_| !out);
         let Some(host) = host else {
-            // A second copy, or a host that no list has named: never sent.
+            // A second copy is never sent, nor can one be to a host that no list names any more.
             log::error!("request {id}: attempt {attempt} was not allowed out");
+            let outcome = if out { Outcome::Moot } else { Outcome::ConnectFailed };
             let event = Settled {
                 id,
                 attempt,
                 member,
                 took: 0,
-                outcome: Outcome::Moot,
+                outcome,
                 finished: false,
                 mark: None,
                 report: Report::default(),
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -67,7 +67,7 @@
     let (handle, commands) =
         core::start(settings, platform.seed, &limits, clock.clone()).map_err(|e| format!("module: {e}"))?;
     // Here the store has no peers and no file: it keeps the last known list in memory, fed by discovery.
-    let store = Rc::new(RefCell::new(Store::new(platform.name.clone(), true)));
+    let store = Rc::new(RefCell::new(Store::new(platform.name.clone(), true).without_tombstones()));
     if let Some(known) = platform.known {
         let known = Listing { whole: true, ..known };
         view::take_list(&mut store.borrow_mut(), &known);
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -132,7 +132,7 @@
     /// Closed when nothing new may be sent.
     gate: (Sender<()>, Receiver<()>),
     idle: Vec<(Lease<C>, Instant)>,
-    /// Counts restarts and moves: a connection of an earlier one is not kept.
+    /// Differs for every restart and move: a connection of an earlier one is not kept.
     epoch: u64,
 }
 
@@ -144,6 +144,8 @@
     known: RefCell<BTreeMap<String, Known<W::Connection>>>,
     connections: Rc<Cell<usize>>,
     running: RefCell<BTreeMap<(RequestId, u8), Sender<()>>>,
+    /// Counts restarts and moves of all hosts.
+    epochs: Cell<u64>,
 }
 
 /// A descriptor's share of the budget.
@@ -172,6 +174,7 @@
             known: RefCell::default(),
             connections: Rc::default(),
             running: RefCell::default(),
+            epochs: Cell::default(),
         })
     }
 
@@ -237,6 +240,14 @@
 
     fn host(&self, host: Host) {
         let mut all = self.known.borrow_mut();
+        if host.gone {
+            // Nothing of it is kept; whoever waits for a connection to it is told by its gate.
+            if let Some(known) = all.remove(&host.name) {
+                known.gate.0.close();
+            }
+            return;
+        }
+        self.epochs.set(self.epochs.get() + 1);
         let known = all.entry(host.name).or_insert_with(|| Known {
             address: host.address,
             open: host.open,
@@ -245,7 +256,7 @@
             epoch: 0,
         });
         // Another process or place: what was opened to the old one leads nowhere.
-        known.epoch += 1;
+        known.epoch = self.epochs.get();
         known.address = host.address;
         known.open = host.open;
         if !host.open {
@@ -400,10 +411,28 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let hosts = Hosts::new(Plain, Rc::new(limits), Clock::start());
         let address = listener.local_addr().unwrap();
-        hosts.host(Host { name: "a".into(), address, open: true, started_at: None });
+        hosts.host(Host { name: "a".into(), address, open: true, started_at: None, gone: false });
         (hosts, listener)
     }
 
+    /// Guards against what is kept of hosts that are gone, and against a connection of one that comes back.
+    #[test]
+    fn a_host_that_is_gone_leaves_nothing_behind() {
+        let (hosts, listener) =
+            hosts(Limits { settle: std::time::Duration::ZERO, ..Limits::for_sockets(64) });
+        let address = listener.local_addr().unwrap();
+        async_io::block_on(async {
+            let old = hosts.lease("a").await.ok().unwrap();
+            let host = |gone: bool| Host { name: "a".into(), address, open: !gone, started_at: None, gone };
+            hosts.host(host(true));
+            assert!(hosts.known.borrow().is_empty());
+            assert!(matches!(hosts.lease("a").await, Err(Outcome::ConnectFailed)));
+            hosts.host(host(false));
+            hosts.give_back("a", old);
+            assert_eq!(hosts.connections(), 0, "a connection of its earlier life is not kept");
+        });
+    }
+
     /// Guards against a second copy of an answer that comes right behind it and passes for the next one.
     #[test]
     fn a_connection_rests_before_it_is_used_again() {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -12,6 +12,8 @@
 
 /// Counters above this are refused: one false record must not use up all numbers.
 const MOST: u64 = 1 << 52;
+/// Tombstones that a copy keeps.
+const TOMBSTONES: usize = 10_000;
 /// First line of the text form.
 const FORM: &str = "brookpass-store 1";
 
@@ -43,6 +45,8 @@
     pending: BTreeMap<String, Option<String>>,
     caught_up: bool,
     version: u64,
+    /// Tombstones that are kept.
+    tombstones: usize,
 }
 
 impl Store {
@@ -55,9 +59,15 @@
             pending: BTreeMap::new(),
             caught_up: alone,
             version: 0,
+            tombstones: TOMBSTONES,
         }
     }
 
+    /// A copy that is nobody's replica and never will be one: it needs no tombstones.
+    pub fn without_tombstones(self) -> Store {
+        Store { tombstones: 0, ..self }
+    }
+
     /// Grows with every change that can be seen.
     pub fn version(&self) -> u64 {
         self.version
@@ -109,6 +119,20 @@
             let stamp = Stamp { counter: self.counter, node: self.node.clone() };
             self.records.insert(key, Record { stamp, value });
         }
+        self.prune();
+    }
+
+    /// Hosts come and go for as long as the program runs: the oldest tombstones go. A replica that is older than
+    /// so many removals may bring a host back, until an inventory is read; it never undoes a drain, which is a
+    /// mark that is there and no tombstone.
+    fn prune(&mut self) {
+        let dead = self.records.iter().filter(|(_, r)| r.value.is_none());
+        let mut dead: Vec<(Stamp, String)> = dead.map(|(k, r)| (r.stamp.clone(), k.clone())).collect();
+        let more = dead.len().saturating_sub(self.tombstones);
+        if more > 0 {
+            dead.sort();
+            dead.iter().take(more).for_each(|(_, key)| drop(self.records.remove(key)));
+        }
     }
 
     /// Takes in records of another copy; the newer one of each key stays.
@@ -122,6 +146,7 @@
                 self.records.insert(key, other);
             }
         }
+        self.prune();
     }
 
     /// Gives up local changes that have no stamp yet and whose key is chosen by `which`.
@@ -288,6 +313,30 @@
         runner(300).run(&steps, check).unwrap();
     }
 
+    /// Guards against memory that grows with every host that was ever removed.
+    #[test]
+    fn the_oldest_tombstones_go() {
+        let mut alone = Store::new("a".into(), true).without_tombstones();
+        let mut shared = Store { tombstones: 3, ..Store::new("a".into(), true) };
+        for store in [&mut alone, &mut shared] {
+            store.put("drain/kept", Some("1".into()));
+            for n in 0..100 {
+                store.put(&format!("host/{n:03}"), Some("x".into()));
+                store.put(&format!("host/{n:03}"), None);
+            }
+        }
+        assert_eq!(alone.records().keys().collect::<Vec<_>>(), ["drain/kept"]);
+        assert_eq!(
+            shared.records().keys().collect::<Vec<_>>(),
+            ["drain/kept", "host/097", "host/098", "host/099"]
+        );
+        // An old copy brings back a host at the worst; the drain stays.
+        let mut stale = Store::new("b".into(), true);
+        stale.put("drain/kept", None);
+        shared.merge(stale.records().clone());
+        assert_eq!(shared.get("drain/kept"), Some("1"));
+    }
+
     /// Guards against a drain that a replica with an old copy undoes.
     #[test]
     fn a_stale_replica_never_undoes_a_drain() {
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -522,3 +522,44 @@
     let (id, sent) = rig.ask(READ, 2_000 * MS, None);
     assert_ne!(sends(&sent, id), [member(1)], "a read finds out whether it has caught up");
 }
+
+/// Guards against memory that grows with every host that was replaced and every session that ever wrote.
+#[test]
+fn members_that_are_gone_and_old_sessions_are_forgotten() {
+    let mut s = settings();
+    s.session_marks = Some(SessionMarks::Remembered);
+    s.classes[WRITE].aim = Some(10_000 * MS);
+    let mut rig = Rig::new(s, 2);
+    let host = |n: u16, availability| {
+        let member = MemberId { ip: [10, 1, (n >> 8) as u8, n as u8], port: 1 };
+        Entry { member, availability, group: u32::from(n), ..entry(0) }
+    };
+    for n in 0..500 {
+        rig.now += 2_000 * MS;
+        rig.list(ListKind::Delta, vec![host(n, Availability::Gone), host(n + 1, Availability::Ready)]);
+        let [members, groups, ..] = rig.router.kept();
+        assert!(members <= 20 && groups <= 20, "{members} members, {groups} groups after {n}");
+    }
+    // A member with an attempt out is kept until that is settled.
+    let (id, sent) = rig.ask(WRITE, 60_000 * MS, None);
+    assert_eq!(sends(&sent, id), [member(1)]);
+    rig.list(ListKind::Delta, vec![Entry { availability: Availability::Gone, ..entry(1) }]);
+    rig.now += 50_000 * MS;
+    rig.list(ListKind::Delta, Vec::new());
+    let end = rig.answer(id, 0, 1, Outcome::Error, None, 0);
+    assert!(failed(&end, id), "its request gets its final answer");
+    rig.list(ListKind::Delta, Vec::new());
+    let (id, sent) = rig.ask(WRITE, 5_000 * MS, None);
+    assert_eq!(sends(&sent, id), [member(2)], "the believed primary is forgotten, the ring goes on");
+    rig.answer(id, 0, 2, Outcome::Ok, Some(true), 0);
+    for session in 0..60_000 {
+        rig.now += MS;
+        let id = 1_000_000 + session;
+        let ask = Ask { id, class: WRITE, group: 1, session, patience: 5_000 * MS, ..Ask::default() };
+        let sent = rig.event(Event::Request(ask));
+        assert_eq!(sends(&sent, id), [member(2)], "{session}");
+        rig.answer(id, 0, 2, Outcome::Ok, Some(true), 0);
+    }
+    let [.., requests, sessions] = rig.router.kept();
+    assert!(requests == 0 && sessions <= 50_000, "{requests} requests, {sessions} sessions");
+}
