Give up held requests that no host has had while their clients have half of their time

Faulty lines: Router::guard in src/choice.rs gave up a held request at end minus latency only; one that was held again after an attempt had its guard at the deadline and was answered there.

Change: last_call() is half of the time for one that no member has had whole; hold() sets a guard for one that comes back.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -42,6 +42,8 @@
 const FORGET: Micros = 30_000_000;
 /// Sessions whose last commit is remembered one by one.
 const SESSIONS: usize = 50_000;
+/// An answer needs so long at the most from here to the client.
+const WAY_OUT: Micros = 15_000;
 /// Weight in the draw of a member in another zone, against one in this driver's own.
 const FAR: f64 = 0.6;
 /// Aim of a class and attempts for a request where the settings do not say.
@@ -152,6 +154,8 @@
     member: MemberId,
     sent: Micros,
     open: bool,
+    /// Its member has had it whole, or may have.
+    written: bool,
     /// When it ended without an answer for the client.
     missed_at: Option<Micros>,
 }
@@ -669,7 +673,8 @@
             ..Request::default()
         };
         // Looked at when it turns late, when hope ends, and at its deadline.
-        self.agenda.insert(((aim_at - self.latency[class] as Micros).clamp(now, deadline), Due::Guard(id)));
+        let late = (aim_at - self.latency[class] as Micros).min(self.last_call(&r));
+        self.agenda.insert((late.clamp(now, deadline), Due::Guard(id)));
         self.requests.insert(id, r);
         self.route(now, id, out);
     }
@@ -691,6 +696,11 @@
         let rank = (late, if late { r.deadline } else { r.aim_at }, id);
         r.held = Some(rank);
         self.groups.entry(r.group).or_default().held(r.writes).insert(rank);
+        // Its guard may have been left to the deadline while an attempt was out.
+        if !r.attempts.is_empty() {
+            let last = self.last_call(&self.requests[&id]);
+            self.agenda.insert((last, Due::Guard(id)));
+        }
     }
 
     fn release(&mut self, id: RequestId) {
@@ -715,7 +725,7 @@
         let left = self.members.get(&member).map_or(0.0, |m| self.allowance(now, m) - 1.0);
         let (Some(r), Some(m)) = (self.requests.get_mut(&id), self.members.get_mut(&member)) else { return };
         let number = r.attempts.len() as u8;
-        r.attempts.push(Attempt { member, sent: now, open: true, missed_at: None });
+        r.attempts.push(Attempt { member, sent: now, open: true, written: true, missed_at: None });
         m.out.insert((id, number), now);
         (m.gap, m.sent_at) = (now - m.sent_at, now);
         (m.budget, m.budget_at) = (left, now);
@@ -755,7 +765,7 @@
         }
         let Some(r) = self.requests.get_mut(&id) else { return };
         if let Some(a) = r.attempts.get_mut(usize::from(attempt)) {
-            a.open = false;
+            (a.open, a.written) = (false, outcome != Outcome::ConnectFailed);
             a.missed_at = (outcome != Outcome::Full).then_some(now);
             if matches!(outcome, Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
                 r.first_ran = Some(r.first_ran.map_or(a.sent, |t| t.min(a.sent)));
@@ -914,10 +924,18 @@
         }
     }
 
+    /// Until when a request is held: an answer would still be worth something, and where no member has had it at
+    /// all, its client has half of its time left for another way.
+    fn last_call(&self, r: &Request) -> Micros {
+        let last = r.end - self.latency[r.class] as Micros;
+        let half = (r.arrived + r.deadline) / 2 - WAY_OUT;
+        if r.attempts.iter().any(|a| a.written) { last } else { last.min(half) }.max(r.arrived)
+    }
+
     /// The deadline of a request: a held one is given up when hope is gone, any other at the very end.
     fn guard(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id).filter(|r| !r.streaming) else { return };
-        let last = (r.end - self.latency[r.class] as Micros).max(r.arrived);
+        let last = self.last_call(r);
         let at = if r.attempts.iter().any(|a| a.open) { r.deadline } else { last };
         if now >= at {
             return self.give_up(id, out);
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -563,3 +563,26 @@
     let [.., requests, sessions] = rig.router.kept();
     assert!(requests == 0 && sessions <= 50_000, "{requests} requests, {sessions} sessions");
 }
+
+/// Guards against clients that are kept waiting in vain: half of its time must be left for another way.
+#[test]
+fn a_held_request_that_no_member_has_had_is_refused_while_half_of_its_time_is_left() {
+    let mut rig = Rig::new(settings(), 3);
+    let (scout, _) = rig.ask(WRITE, 2_000 * MS, None);
+    for (attempt, from) in [(0, 1), (1, 2), (2, 3)] {
+        rig.answer(scout, attempt, from, Outcome::Miss, Some(false), 0);
+    }
+    let (held, sent) = rig.ask(WRITE, 2_000 * MS, None);
+    assert!(sends(&sent, held).is_empty());
+    let early = rig.pass(900 * MS);
+    assert!(!refused(&early, held), "a write is held while it still has a prospect");
+    let half = rig.pass(100 * MS);
+    assert!(refused(&half, held) && !refused(&half, scout), "one that a member has had is held on");
+    // One whose attempts found no connection is such a one too, also where that comes to light late.
+    let mut rig = Rig::new(settings(), 1);
+    let (id, sent) = rig.ask(WRITE, 2_000 * MS, None);
+    assert_eq!(sends(&sent, id), [member(1)]);
+    rig.pass(1_200 * MS);
+    rig.answer(id, 0, 1, Outcome::ConnectFailed, None, 0);
+    assert!(refused(&rig.pass(10 * MS), id));
+}
