--- a/src/choice.rs
+++ b/src/choice.rs
@@ -924,8 +924,8 @@
         }
     }
 
-    /// Until when a request is held: an answer would still be worth something, and where no member has had it at
-    /// all, its client has half of its time left for another way.
+    /// Until when a request is held: an answer would still be worth something, and where no member has had
+    /// it at all, its client has half of its time left for another way.
     fn last_call(&self, r: &Request) -> Micros {
         let last = r.end - self.latency[r.class] as Micros;
         let half = (r.arrived + r.deadline) / 2 - WAY_OUT;
