End idle connections after 2 s, in a crowd those that asked once sooner

Checked with probes: neither the seats (182) nor the module refused (10 of 7,000); connections that had asked stood at exactly 128 of 384 descriptors, 125 of them idle, 2 busy; 3,493 idle ones were ended to make room. Clients hold at most a third of the descriptors for requests: those that ask once and stay had used it up, and the others found none left. Ruled out: the listen backlog (none not taken), silent connections (55, each ended), SIGTERM (from the start on). Faulty lines: nothing in src/net/listen.rs ended an idle connection before the seats were full, and then the longest idle one, whoever it belonged to.

Change: relieve() ends idle connections after 2 s on the platform, and beyond five eighths of that third the ones that have asked once, after 100 ms; who makes room follows the same order.

--- a/src/config.rs
+++ b/src/config.rs
@@ -16,6 +16,12 @@
     pub requests: usize,
     /// Inputs that wait for the module's owner.
     pub queue: usize,
+    /// Connections of clients that have asked something, beyond which those that asked once make room.
+    pub crowded: usize,
+    /// A client's connection that stood idle for so long ends.
+    pub client_idle: Duration,
+    /// Time between two looks for such connections.
+    pub relief: Duration,
     /// Bytes of its message that a client may have held without asking for room.
     pub small: usize,
     /// Bytes that the longer messages of all clients may hold together.
@@ -144,6 +150,9 @@
             turned_away,
             hosts: free - clients - turned_away,
             requests: 4096,
+            crowded: clients,
+            client_idle: Duration::from_secs(60),
+            relief: Duration::from_millis(50),
             // A long statement is held up to five times on its way: read, taken, numbered, written out.
             small: 16 * 1024,
             held: eighth,
@@ -186,6 +195,12 @@
             ready: Duration::from_millis(500),
         }
     }
+    /// All clients together hold at most so many connections for requests: those that lie idle are taken from
+    /// those that ask, and end soon.
+    pub fn clients_hold(&mut self, most: usize) {
+        self.crowded = (most * 5 / 8).clamp(1, self.clients);
+        self.client_idle = Duration::from_secs(2);
+    }
     /// How long after SIGTERM connections are taken and idle ones kept, and when the program ends, where no
     /// client has given a request longer than `patience`. One that is `alone` has nobody to leave its clients
     /// to: it serves those that it has for as long as what they ask can still be answered.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -71,6 +71,8 @@
     serve: impl Fn(Async<TcpStream>, Place, Welcome) -> F + 'static,
 ) -> Task<()> {
     let (seats, executor2) = (seats.clone(), executor.clone());
+    let tidy = seats.clone();
+    executor.spawn(async move { tidy.tidy().await }).detach();
     executor.spawn(async move {
         let spawn = |stream, place, welcome| executor2.spawn(serve(stream, place, welcome)).detach();
         listen::accept(&listener, &seats, spawn).await;
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -29,6 +29,7 @@
 
 fn limits(platform: &Platform) -> Limits {
     let mut limits = Limits::on(Machine::platform(platform.sockets, platform.memory_mb));
+    limits.clients_hold(platform.sockets.unwrap_or(1024) / 3);
     limits.hosts_idle_for(platform.conn_idle);
     if let Some(connect) = platform.settings.connect_timeout {
         limits.connect = Duration::from_micros(connect.max(1) as u64);
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -60,7 +60,7 @@
     /// A whole request has come.
     pub fn taken(&mut self) {
         self.awaited = None;
-        self.place.stands(Standing::Busy, Instant::now());
+        self.place.asked();
     }
 
     /// Reads once; 0 at the end of the stream.
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -34,6 +34,8 @@
 struct Seat {
     /// Where it stands, since when.
     stands: Cell<(Standing, Instant)>,
+    /// Whole requests that came on it.
+    asked: Cell<u32>,
     /// Closed: the connection is to end between two requests.
     end: Sender<()>,
 }
@@ -101,7 +103,8 @@
         }
         let longest = |wanted| {
             let open = taken.values().filter(|s| !s.end.is_closed() && s.stands.get().0 == wanted);
-            open.min_by_key(|s| s.stands.get().1)
+            // Some ask once and keep their connection for good.
+            open.min_by_key(|s| (s.asked.get() > 1, s.stands.get().1))
         };
         let silent = longest(Standing::Waiting);
         let ripe = silent.filter(|s| s.stands.get().1.elapsed() >= self.limits.grace);
@@ -109,6 +112,40 @@
         goes.is_some_and(|seat| seat.end.close())
     }
 
+    /// Ends connections that have stood idle for long. While there are many, those that have asked no more than
+    /// once end sooner: clients can hold only so many, and they would leave none to those that go on asking.
+    fn relieve(&self) {
+        let taken = self.taken.borrow();
+        let mut served = 0;
+        let mut once: Vec<&Rc<Seat>> = Vec::new();
+        for seat in taken.values().filter(|s| !s.end.is_closed()) {
+            let (standing, since) = seat.stands.get();
+            served += usize::from(standing != Standing::Waiting);
+            if standing == Standing::Idle && since.elapsed() >= self.limits.client_idle {
+                seat.end.close();
+                served -= 1;
+            } else if standing == Standing::Idle
+                && seat.asked.get() <= 1
+                && since.elapsed() >= self.limits.grace
+            {
+                once.push(seat);
+            }
+        }
+        once.sort_by_key(|s| s.stands.get().1);
+        let many = served.saturating_sub(self.limits.crowded);
+        for seat in once.iter().take(many) {
+            seat.end.close();
+        }
+    }
+
+    /// Looks for idle connections, for ever.
+    pub async fn tidy(&self) {
+        loop {
+            Timer::after(self.limits.relief).await;
+            self.relieve();
+        }
+    }
+
     fn seat(self: &Rc<Seats>) -> Option<(Place, Welcome)> {
         let (sender, end) = async_channel::bounded(1);
         if self.taken() >= self.limits.clients && !self.make_room() {
@@ -122,7 +159,11 @@
                 Welcome::TurnedAway,
             ));
         }
-        let seat = Rc::new(Seat { stands: Cell::new((Standing::Waiting, Instant::now())), end: sender });
+        let seat = Rc::new(Seat {
+            stands: Cell::new((Standing::Waiting, Instant::now())),
+            asked: Cell::new(0),
+            end: sender,
+        });
         let number = self.next.get();
         self.next.set(number + 1);
         self.taken.borrow_mut().insert(number, seat.clone());
@@ -138,6 +179,14 @@
         }
     }
 
+    /// Notes that a whole request has come.
+    pub fn asked(&self) {
+        if let Some(seat) = &self.seat {
+            seat.asked.set(seat.asked.get().saturating_add(1));
+        }
+        self.stands(Standing::Busy, Instant::now());
+    }
+
     /// Notes how many bytes of a message it holds; false: there is no room for so many.
     pub fn hold(&mut self, bytes: usize) -> bool {
         let limits = &self.seats.limits;
@@ -258,6 +307,34 @@
         assert!(new.ends() && !busy.ends() && !newer.ends());
     }
 
+    /// Guards against those that ask once and stay: clients hold only so many connections, and those that go on
+    /// asking would find none.
+    #[test]
+    fn idle_connections_end_and_in_a_crowd_those_that_asked_once_go_first() {
+        let limits = Limits { clients: 9, crowded: 3, ..Limits::for_sockets(64) };
+        let (grace, long, seats) = (limits.grace, limits.client_idle, Seats::new(Rc::new(limits)));
+        let take = |asked: u32, idle: std::time::Duration| {
+            let (place, _) = seats.seat().unwrap();
+            (0..asked).for_each(|_| place.asked());
+            place.stands(Standing::Idle, Instant::now().checked_sub(idle).unwrap());
+            place
+        };
+        let ended = |places: &[Place]| places.iter().map(Place::ends).collect::<Vec<_>>();
+        let mut places = vec![take(5, grace * 3), take(1, grace * 2), take(1, grace * 4)];
+        seats.relieve();
+        assert_eq!(ended(&places), [false, false, false], "three are no crowd");
+        places.extend([take(1, grace / 9), take(2, grace * 5)]);
+        seats.relieve();
+        assert_eq!(ended(&places), [false, true, true, false, false], "all that asked once a while ago");
+        places.push(take(7, long));
+        seats.relieve();
+        assert!(places[5].ends() && !places[0].ends() && !places[4].ends());
+        let (silent, _) = seats.seat().unwrap();
+        silent.stands(Standing::Waiting, Instant::now().checked_sub(long).unwrap());
+        seats.relieve();
+        assert!(!silent.ends(), "its own time is looked at elsewhere");
+    }
+
     /// Guards against clients whose long messages together take more memory than there is.
     #[test]
     fn long_messages_share_one_budget() {
