Notice a silent watch on discovery within 3 s, before its news counts as told

Checked: what discovery has to tell counts as told 6 s later at the latest; the module sends to ready members only and the host side looks once more before the first byte, so the list itself was late. Faulty lines: Limits::watch was 10 s in src/config.rs; a watch that falls silent was noticed after 11 s. Change: watches of 2 s. A test keeps the time until such a watch is replaced under 5 s.

--- a/src/config.rs
+++ b/src/config.rs
@@ -173,7 +173,8 @@
             startup: Duration::from_secs(2),
             grace: Duration::from_millis(100),
             write: Duration::from_secs(5),
-            watch: Duration::from_secs(10),
+            // A watch that fell silent must be noticed before what it has to tell counts as told all the same.
+            watch: Duration::from_secs(2),
             discovery: Duration::from_secs(1),
             pause: (Duration::from_millis(50), Duration::from_secs(1)),
             margin: Duration::from_millis(4),
@@ -239,4 +240,13 @@
         }
         assert!(limits.ending(Some(2_500_000), true).0 > Duration::from_secs(2));
     }
+
+    /// Guards against sends to a host that drains, where the watch that had to tell it fell silent: whatever
+    /// discovery has to tell counts as told 6 s later.
+    #[test]
+    fn a_watch_that_fell_silent_is_noticed_in_time() {
+        let limits = Limits::for_sockets(64);
+        let noticed = limits.watch + limits.discovery + limits.pause.0 + limits.discovery;
+        assert!(noticed < Duration::from_secs(5), "{noticed:?}");
+    }
 }
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -271,7 +271,7 @@
                     told.asked_after = after;
                     changed.notify_all();
                     let waits = |t: &mut Told| t.index <= after && t.broken.is_none();
-                    told = changed.wait_timeout_while(told, Duration::from_secs(5), waits).unwrap().0;
+                    told = changed.wait_timeout_while(told, Duration::from_secs(1), waits).unwrap().0;
                 }
                 let fresh = after.is_none_or(|a| told.index > a);
                 let list = if fresh { told.endpoints.clone() } else { String::new() };
