Look at held requests again once a rest or a cold budget has passed

A pooler of many meets a group less than twice a second.

Now whatever a member waits for by the clock is one time, opens_at, and holding a request sets a timer to it. The total of units is taken once a list; an attempt taken for lost and an ordinary repeat share one guard.

The test fails on the old module.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -97,8 +97,6 @@
     /// Sends that a cold member may still be given.
     budget: f64,
     budget_at: Micros,
-    /// Its size as counted in the total.
-    counted: f64,
 }
 
 /// What the router keeps of a group.
@@ -208,6 +206,7 @@
 }
 
 /// The decisions of one driver.
+#[derive(Default)]
 pub struct Router {
     settings: Settings,
     /// Rates are taken over this long: the time in which a cold member falls over.
@@ -245,20 +244,8 @@
             span: settings.tip_after.unwrap_or(HOLD_TIMER * 4),
             settings,
             rng: Rng::with_seed(seed),
-            members: BTreeMap::new(),
-            groups: BTreeMap::new(),
-            requests: BTreeMap::new(),
             latency,
-            sessions: BTreeMap::new(),
-            forgotten: None,
-            served: Rate::default(),
-            units: 0.0,
-            peak: 0.0,
-            agenda: BTreeSet::new(),
-            armed: None,
-            dirty: BTreeSet::new(),
-            greeted: false,
-            list_failures: 0,
+            ..Router::default()
         }
     }
 
@@ -312,7 +299,6 @@
             let binds = self.settings.drain_binds_alone != Some(true);
             for (id, m) in self.members.iter_mut().filter(|(id, _)| binds && !named.contains(id)) {
                 m.availability = Availability::Gone;
-                self.units -= std::mem::take(&mut m.counted);
                 self.groups.entry(m.group).or_default().members.remove(id);
             }
         }
@@ -320,6 +306,8 @@
             self.entry(now, e);
         }
         self.forget(now);
+        let there = self.members.values().filter(|m| m.availability != Availability::Gone);
+        self.units = there.map(|m| m.units).sum();
         if !std::mem::replace(&mut self.greeted, true) {
             let subscribes = self.settings.must_subscribe == Some(true);
             out.extend(subscribes.then_some(Action::Subscribe { on: true }));
@@ -381,8 +369,6 @@
             m.availability = e.availability;
         }
         let gone = m.availability == Availability::Gone;
-        let counted = if gone { 0.0 } else { m.units };
-        self.units += counted - std::mem::replace(&mut m.counted, counted);
         let unheard = m.role_at.is_none_or(|t| now - t > HOLD_TIMER);
         let before = std::mem::replace(&mut m.group, e.group);
         self.groups.entry(before).or_default().members.remove(&e.member);
@@ -442,9 +428,8 @@
     /// in a row. One that fails fast looks idle and would draw all reads to itself.
     fn shun(&mut self, now: Micros, id: MemberId, base: Micros) {
         let Some(m) = self.members.get_mut(&id) else { return };
-        let until = now + (base << m.strikes.min(MAX_DOUBLINGS));
-        (m.shunned_until, m.strikes) = (Some(until), m.strikes + 1);
-        self.agenda.insert((until, Due::Pump(m.group)));
+        m.shunned_until = Some(now + (base << m.strikes.min(MAX_DOUBLINGS)));
+        m.strikes += 1;
     }
 
     // ---- write path ----
@@ -611,15 +596,18 @@
     /// In service, not failing (a suspect is asked one thing at a time), with room and within its budget.
     fn takes(&self, now: Micros, id: MemberId) -> bool {
         let m = &self.members[&id];
-        let answers = Some(now) >= m.shunned_until && (!m.suspect || m.out.is_empty());
-        let room = (m.out.len() as f64) < m.window && now >= self.rests_until(m);
-        m.availability == Availability::Ready && answers && room && self.allowance(now, m) >= 1.0
+        let room = (m.out.len() as f64) < m.window && (!m.suspect || m.out.is_empty());
+        m.availability == Availability::Ready && room && now >= self.opens_at(now, m)
     }
 
-    /// A window below one leaves pauses between attempts, measured in usual latencies of the first class.
-    fn rests_until(&self, m: &Member) -> Micros {
+    /// From when on a member may take more, as far as that is a matter of time: it is shunned, its cold
+    /// budget fills, or a window below one leaves pauses, measured in usual latencies of the first class.
+    fn opens_at(&self, now: Micros, m: &Member) -> Micros {
         let usual = self.latency.first().copied().unwrap_or(0.0);
-        m.sent_at + if m.window < 1.0 { (usual / m.window) as Micros } else { 0 }
+        let rest = if m.window < 1.0 { (usual / m.window) as Micros } else { 0 };
+        let step = HOLD_TIMER / 8;
+        let fills = if self.allowance(now, m) < 1.0 { now + step - (now - m.budget_at) % step } else { 0 };
+        (m.sent_at + rest).max(fills).max(m.shunned_until.unwrap_or(0))
     }
 
     fn fresh(&self, now: Micros, r: &Request, m: &Member) -> bool {
@@ -706,12 +694,14 @@
         let late = now + self.latency[r.class] as Micros > r.aim_at;
         let rank = (late, if late { r.deadline } else { r.aim_at }, id);
         r.held = Some(rank);
-        self.groups.entry(r.group).or_default().held(r.writes).insert(rank);
+        let (group, tried) = (r.group, !r.attempts.is_empty());
+        self.groups.entry(group).or_default().held(r.writes).insert(rank);
+        // Where few requests come, nothing else may happen to the group in time once a member opens.
+        let opens = self.groups[&group].members.iter().map(|id| self.opens_at(now, &self.members[id]));
+        self.agenda.extend(opens.filter(|at| *at > now).min().map(|at| (at, Due::Pump(group))));
         // Its guard may have been left to the deadline while an attempt was out.
-        if !r.attempts.is_empty() {
-            let last = self.last_call(&self.requests[&id]);
-            self.agenda.insert((last, Due::Guard(id)));
-        }
+        let last = self.last_call(&self.requests[&id]);
+        self.agenda.extend(tried.then_some((last, Due::Guard(id))));
     }
 
     fn release(&mut self, id: RequestId) {
@@ -801,8 +791,7 @@
         if finished {
             let remembers = r.writes && self.settings.session_marks == Some(SessionMarks::Remembered);
             if let (Outcome::Ok, Some(mark), true) = (outcome, mark, remembers) {
-                let commit = self.settings.zero.unwrap_or(0) + mark.position;
-                let session = r.session;
+                let (session, commit) = (r.session, self.settings.zero.unwrap_or(0) + mark.position);
                 self.remember(session, commit);
             }
             self.finish(id, out);
@@ -907,11 +896,16 @@
 
     // ---- guards ----
 
-    /// Whether another attempt is allowed: rule 2, the attempt limit and the deadline.
+    /// Whether another attempt is allowed.
     fn may_resend(&self, now: Micros, id: RequestId) -> bool {
         let r = &self.requests[&id];
+        self.may_repeat(now, r, r.first_ran)
+    }
+
+    /// The same where the first attempt that may have run was sent at `ran`: rule 2, attempt limit, deadline.
+    fn may_repeat(&self, now: Micros, r: &Request, ran: Option<Micros>) -> bool {
         let c = &self.settings.classes[r.class];
-        let harmless = match (c.repeat.unwrap_or(Repeat::Unsafe), r.first_ran) {
+        let harmless = match (c.repeat.unwrap_or(Repeat::Unsafe), ran) {
             (Repeat::Safe, _) | (_, None) => true,
             // Where a key is known in one zone only, the group's next primary may stand in another.
             (Repeat::Keyed, Some(_)) if c.key_group == Some(KeyGroup::Zone) => false,
@@ -976,13 +970,13 @@
     /// An attempt whose connection fell silent while its member goes on answering is called off and, once
     /// that is settled, repeated as far as its class permits.
     fn lost(&mut self, now: Micros, id: RequestId, attempt: u8, out: &mut Vec<Action>) {
-        let Some(r) = self.requests.get(&id).filter(|r| !r.streaming && !r.moved) else { return };
+        let Some(r) = self.requests.get(&id).filter(|r| !r.moved) else { return };
         let Some(a) = r.attempts.get(usize::from(attempt)).filter(|a| a.open) else { return };
-        let (c, usual) = (&self.settings.classes[r.class], self.latency[r.class] as Micros);
-        let known = c.key_group != Some(KeyGroup::Zone) && now < a.sent + c.key_window.unwrap_or(0) / 2;
-        let harmless = c.repeat == Some(Repeat::Safe) || c.repeat == Some(Repeat::Keyed) && known;
-        let left = (r.attempts.len() as u32) < self.settings.max_attempts.unwrap_or(ATTEMPTS);
-        if !harmless || !left || now + usual >= r.end || self.settings.may_cancel != Some(true) {
+        let usual = self.latency[r.class] as Micros;
+        let c = &self.settings.classes[r.class];
+        let known = c.repeat == Some(Repeat::Safe) || now < a.sent + c.key_window.unwrap_or(0) / 2;
+        let again = known && self.may_repeat(now + usual, r, r.first_ran.or(Some(a.sent)));
+        if !again || self.settings.may_cancel != Some(true) {
             return;
         }
         if self.members.get(&a.member).is_some_and(|m| m.answered >= a.overtaken_at) {
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -632,3 +632,35 @@
     let (next, sent) = rig.ask(WRITE, 2_000 * MS, None);
     assert_eq!(sends(&sent, next), [member(1)]);
 }
+
+/// Guards against requests of a driver that sees few, held until their time is over while the member that they
+/// wait for has long been open: a rest and a cold budget end by the clock, and nothing else may happen.
+#[test]
+fn a_held_request_goes_once_its_member_opens_though_nothing_else_happens() {
+    let driver = || {
+        let mut s = settings();
+        s.drivers = Some(100);
+        let mut rig = Rig::new(s, 1);
+        rig.introduce(1, true, 0);
+        rig
+    };
+    let mut rests = driver();
+    let (id, _) = rests.ask(WRITE, 5_000 * MS, None);
+    rests.now += 450 * MS;
+    rests.took = 450 * MS;
+    rests.answer(id, 0, 1, Outcome::Ok, Some(true), 0);
+    rests.now += 10 * MS;
+    let (id, sent) = rests.ask(WRITE, 2_000 * MS, None);
+    assert_eq!(sends(&sent, id), [member(1)]);
+    rests.took = 200 * MS;
+    rests.now += 200 * MS;
+    rests.answer(id, 0, 1, Outcome::Ok, Some(true), 0);
+    let mut cold = driver();
+    cold.serve(WRITE, 40);
+    cold.list(ListKind::Delta, vec![Entry { started_at: Some(cold.now), ..entry(1) }]);
+    for (mut rig, why) in [(rests, "it rests"), (cold, "its budget is not full")] {
+        let (id, sent) = rig.ask(WRITE, 2_000 * MS, None);
+        assert!(sends(&sent, id).is_empty(), "{why}");
+        assert_eq!(sends(&rig.pass(900 * MS), id), [member(1)], "{why}");
+    }
+}
