Tell peers of a new primary, so that each pooler need not find it by misses

Cause: a pooler learns a primary from its own answers and one write tried each half second (group_timer); it meets a group less than twice a second, so 100 poolers learn the same thing one by one. Ruled out: the list (it names no primary here), rests and budgets (other lines).

A pooler that hears from a host that it is a new primary tells all peers in 15 bytes. The word is a hint: newer than what that host and the believed primary said themselves, or dropped; it names no host that the list has not in service, and marks no data as proven.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,6 +5,7 @@
 //! primary for each group, a ring of its other members in sorted order, holding of writes after a
 //! round of misses, and the companion draw for reads among replicas known to be fresh enough.
 
+use crate::hint::Hint;
 use crate::interface::*;
 use fastrand::Rng;
 use std::collections::{BTreeMap, BTreeSet};
@@ -259,13 +260,14 @@
                 self.requests.entry(id).and_modify(|r| r.streaming = true);
             }
             Event::Settled(end) => {
-                self.learn(now, end.member, end.mark, &end.report);
+                self.learn(now, end.member, end.mark, &end.report, out);
                 self.settled(now, &end, out);
             }
             // Nobody waits for what is still out: impatient clients would pile dead work on the members.
             Event::Lapsed { id } => self.finish(id, out),
-            Event::Probed { member, ok: true, report, .. } => self.learn(now, member, None, &report),
-            Event::Probed { .. } | Event::Peer { .. } => {}
+            Event::Probed { member, ok: true, report, .. } => self.learn(now, member, None, &report, out),
+            Event::Probed { .. } => {}
+            Event::Peer { bytes, .. } => drop(Hint::read(&bytes).and_then(|hint| self.hinted(now, hint))),
             Event::Wake { .. } => {
                 // Wakes cannot be called off: one that was overtaken must not arm another.
                 self.armed = self.armed.filter(|at| *at > now);
@@ -383,7 +385,14 @@
     }
 
     /// Takes in what a member said about itself, by an answer's mark or a load report.
-    fn learn(&mut self, now: Micros, id: MemberId, mark: Option<Mark>, report: &Report) {
+    fn learn(
+        &mut self,
+        now: Micros,
+        id: MemberId,
+        mark: Option<Mark>,
+        report: &Report,
+        out: &mut Vec<Action>,
+    ) {
         let zero = self.settings.zero.unwrap_or(0);
         let field = |name: &str| {
             let n = self.settings.report_fields.iter().position(|f| f == name)?;
@@ -412,12 +421,31 @@
         if role == Some(true) && (g.primary != Some(id) || g.holding || g.scout.is_some()) {
             g.primary = Some(id);
             (g.holding, g.scout) = (false, None);
+            // One of many drivers meets a group seldom: without a word each would look for itself, and miss.
+            if mark.is_some() && self.settings.peer_messages == Some(true) {
+                out.push(Action::Tell { to: None, bytes: Hint { member: id, at: now }.write() });
+            }
         }
         if mark.is_some() {
             self.heard(now, id);
         }
     }
 
+    /// What a peer saw of a primary is a hint: it counts where it is newer than what that member and the
+    /// believed primary said themselves, names nobody that the list has not in service, and proves no data.
+    fn hinted(&mut self, now: Micros, hint: Hint) -> Option<()> {
+        let m = self.members.get(&hint.member).filter(|m| m.availability == Availability::Ready)?;
+        let (g, at) = (self.groups.get_mut(&m.group)?, Some(hint.at.min(now)));
+        let believed = g.primary.and_then(|p| self.members.get(&p)).filter(|p| p.role != Some(false));
+        if at > m.role_at && at > believed.and_then(|p| p.role_at) {
+            (g.primary, g.holding, g.scout) = (Some(hint.member), false, None);
+            self.dirty.insert(m.group);
+            let m = self.members.get_mut(&hint.member)?;
+            (m.role, m.role_at) = (None, at);
+        }
+        Some(())
+    }
+
     fn heard(&mut self, now: Micros, id: MemberId) {
         let Some(m) = self.members.get_mut(&id) else { return };
         (m.heard, m.suspect, m.unreachable, m.shunned_until) = (Some(now), false, false, None);
@@ -533,9 +561,6 @@
             let news = |t| self.members[id].heard > Some(t);
             r.attempts.iter().any(|a| a.member == *id && (a.open || a.missed_at.is_some_and(|t| !news(t))))
         };
-        if let Some(apart) = self.long_read(now, r, g) {
-            return apart;
-        }
         let open = |id: &&MemberId| Some(**id) != g.primary && !tried(id) && self.takes(now, **id);
         let replicas = g.members.iter().filter(open).map(|id| {
             let m = &self.members[id];
@@ -575,24 +600,6 @@
         (proven && spare && self.takes(now, primary)).then_some(primary)
     }
 
-    /// Long reads that any member may answer keep together at the far end of the ring, which every driver
-    /// knows alike, and move up only past members that are out or crowded: such a read may hold up the log
-    /// where it runs, and crowds out short ones. One may be all that a cold member bears.
-    fn long_read(&self, now: Micros, r: &Request, g: &Group) -> Option<Option<MemberId>> {
-        let tightest = self.settings.classes.iter().filter_map(|c| c.max_age.filter(|a| *a > 0)).min()?;
-        let latency = self.latency[r.class] as Micros;
-        if r.kind != Some(Consistency::Eventual) || latency < tightest {
-            return None;
-        }
-        let primary = g.primary.or(g.members.first().copied())?;
-        let mut backwards = g.members.range(..primary).rev().chain(g.members.range(primary..).rev());
-        let bears = |id: &&MemberId| {
-            let tried = r.attempts.iter().any(|a| a.member == **id);
-            self.warmth(now, &self.members[id]) >= 1.0 && **id != primary && !tried && self.takes(now, **id)
-        };
-        Some(backwards.find(bears).copied())
-    }
-
     /// In service, not failing (a suspect is asked one thing at a time), with room and within its budget.
     fn takes(&self, now: Micros, id: MemberId) -> bool {
         let m = &self.members[&id];
--- /dev/null
+++ b/src/hint.rs
@@ -0,0 +1,53 @@
+//! What drivers of a tier tell one another: the form of the message, and nothing of what it is worth.
+
+use crate::interface::{MemberId, Micros};
+
+/// First byte of the message, or of its next form.
+const SEEN_PRIMARY: u8 = 1;
+
+/// A member said of itself that it is the primary of its group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hint {
+    /// The member.
+    pub member: MemberId,
+    /// When its answer came, on the clock that all machines share.
+    pub at: Micros,
+}
+
+impl Hint {
+    /// As it goes out.
+    pub fn write(self) -> Vec<u8> {
+        let mut bytes = vec![SEEN_PRIMARY];
+        bytes.extend(self.member.ip);
+        bytes.extend(self.member.port.to_be_bytes());
+        bytes.extend(self.at.to_be_bytes());
+        bytes
+    }
+
+    /// As it came in; `None` where it is cut off, too long or of another form.
+    pub fn read(bytes: &[u8]) -> Option<Hint> {
+        let [SEEN_PRIMARY, rest @ ..] = bytes else { return None };
+        let (ip, rest) = rest.split_first_chunk::<4>()?;
+        let (port, at) = rest.split_first_chunk::<2>()?;
+        let member = MemberId { ip: *ip, port: u16::from_be_bytes(*port) };
+        Some(Hint { member, at: Micros::from_be_bytes(at.try_into().ok()?) })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a datagram that is truncated, too long or not ours and is taken for news.
+    #[test]
+    fn only_whole_messages_of_this_form_are_read() {
+        let hint = Hint { member: MemberId { ip: [9, 8, 7, 6], port: 54321 }, at: 1_796_158_648_224_123 };
+        let bytes = hint.write();
+        assert_eq!((Hint::read(&bytes), bytes.len()), (Some(hint), 15));
+        for n in 0..bytes.len() {
+            assert_eq!(Hint::read(&bytes[..n]), None, "{n} bytes");
+        }
+        assert_eq!(Hint::read(&[&bytes[..], &[0]].concat()), None);
+        assert_eq!(Hint::read(&[&[2], &bytes[1..]].concat()), None);
+    }
+}
