--- a/src/choice.rs
+++ b/src/choice.rs
@@ -112,17 +112,15 @@
     scout: Option<RequestId>,
     walked: BTreeSet<MemberId>,
     timer_at: Option<Micros>,
-    writes: BTreeSet<Rank>,
-    reads: BTreeSet<Rank>,
+    /// Held reads, and held writes.
+    held: [BTreeSet<Rank>; 2],
     /// Sends of this driver to the group, decayed.
     rate: Rate,
 }
 
-impl Group {
-    fn held(&mut self, writes: bool) -> &mut BTreeSet<Rank> {
-        if writes { &mut self.writes } else { &mut self.reads }
-    }
-}
+/// Places among what a group holds.
+const READS: usize = 0;
+const WRITES: usize = 1;
 
 /// The order in which held requests go: still in time, most urgent first.
 type Rank = (bool, Micros, RequestId);
@@ -308,14 +306,13 @@
             self.entry(now, e);
         }
         self.forget(now);
-        let there = self.members.values().filter(|m| m.availability != Availability::Gone);
-        self.units = there.map(|m| m.units).sum();
+        self.units = self.listed().map(|m| m.units).sum();
         if !std::mem::replace(&mut self.greeted, true) {
             let subscribes = self.settings.must_subscribe == Some(true);
             out.extend(subscribes.then_some(Action::Subscribe { on: true }));
             // The design's one probe of each replica by a fresh router.
-            let probes = self.settings.probes == Some(true);
-            let ready = self.members.iter().filter(|(_, m)| probes && m.availability == Availability::Ready);
+            let first = self.members.iter().filter(|_| self.settings.probes == Some(true));
+            let ready = first.filter(|(_, m)| m.availability == Availability::Ready);
             out.extend(ready.map(|(&member, _)| Action::Probe { member }));
         }
     }
@@ -324,7 +321,7 @@
     fn forget(&mut self, now: Micros) {
         let old = |m: &Member| m.out.is_empty() && m.heard.is_none_or(|t| now - t > FORGET);
         self.members.retain(|_, m| m.availability != Availability::Gone || !old(m));
-        let used = |g: &Group| !(g.members.is_empty() && g.writes.is_empty() && g.reads.is_empty());
+        let used = |g: &Group| !(g.members.is_empty() && g.held.iter().all(BTreeSet::is_empty));
         self.groups.retain(|_, g| used(g) || g.scout.is_some());
     }
 
@@ -341,6 +338,17 @@
         }
     }
 
+    fn listed(&self) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(|m| m.availability != Availability::Gone)
+    }
+
+    /// How many members are on the list, and how many of these get nothing new now.
+    pub fn avoids(&self, now: Micros) -> (usize, usize) {
+        let off =
+            |m: &&Member| m.suspect || m.availability != Availability::Ready || Some(now) < m.shunned_until;
+        (self.listed().count(), self.listed().filter(off).count())
+    }
+
     /// How many members, groups, requests and sessions it keeps.
     pub fn kept(&self) -> [usize; 4] {
         [self.members.len(), self.groups.len(), self.requests.len(), self.sessions.len()]
@@ -349,11 +357,8 @@
     fn entry(&mut self, now: Micros, e: &Entry) {
         let m = self.members.entry(e.member).or_insert_with(|| Member {
             group: e.group,
-            started_at: e.started_at,
+            started_at: Some(Micros::MIN),
             window: (FIRST_WINDOW * self.least).max(1.0),
-            budget: self.rng.f64(),
-            budget_at: now,
-            slow: 1.0,
             ..Member::default()
         });
         if m.started_at != e.started_at {
@@ -528,7 +533,7 @@
     /// The half-second timer: one held write tries one further member.
     fn group_timer(&mut self, now: Micros, group: GroupId, out: &mut Vec<Action>) {
         let Some(g) = self.groups.get(&group).filter(|g| g.holding) else { return };
-        let held: Vec<Rank> = g.writes.iter().take(TRIES).copied().collect();
+        let held: Vec<Rank> = g.held[WRITES].iter().take(TRIES).copied().collect();
         self.hold_group(now, group);
         // Rule 2 binds here as anywhere: a key may have expired while its write was held.
         let Some((.., scout)) = held.into_iter().find(|rank| self.may_resend(now, rank.2)) else { return };
@@ -596,7 +601,7 @@
         // Where members answer from whatever they hold, only one that is known to have been primary is safe.
         let proven = m.role == Some(true) || m.role.is_none() && (self.checks() || m.listed_primary);
         // Reads may take half of what the primary bears, none while it answers late or writes wait for it.
-        let spare = m.window >= 1.0 && (m.out.len() as f64) < m.window / 2.0 && g.writes.is_empty();
+        let spare = m.window >= 1.0 && (m.out.len() as f64) < m.window / 2.0 && g.held[WRITES].is_empty();
         (proven && spare && self.takes(now, primary)).then_some(primary)
     }
 
@@ -610,8 +615,7 @@
     /// From when on a member may take more, as far as that is a matter of time: it is shunned, its cold
     /// budget fills, or a window below one leaves pauses, measured in usual latencies of the first class.
     fn opens_at(&self, now: Micros, m: &Member) -> Micros {
-        let usual = self.latency.first().copied().unwrap_or(0.0);
-        let rest = if m.window < 1.0 { (usual / m.window) as Micros } else { 0 };
+        let rest = self.latency.first().filter(|_| m.window < 1.0).map_or(0, |l| (l / m.window) as Micros);
         let step = HOLD_TIMER / 8;
         let fills = if self.allowance(now, m) < 1.0 { now + step - (now - m.budget_at) % step } else { 0 };
         (m.sent_at + rest).max(fills).max(m.shunned_until.unwrap_or(0))
@@ -702,7 +706,7 @@
         let rank = (late, if late { r.deadline } else { r.aim_at }, id);
         r.held = Some(rank);
         let (group, tried) = (r.group, !r.attempts.is_empty());
-        self.groups.entry(group).or_default().held(r.writes).insert(rank);
+        self.groups.entry(group).or_default().held[usize::from(r.writes)].insert(rank);
         // Where few requests come, nothing else may happen to the group in time once a member opens.
         let opens = self.groups[&group].members.iter().map(|id| self.opens_at(now, &self.members[id]));
         self.agenda.extend(opens.filter(|at| *at > now).min().map(|at| (at, Due::Pump(group))));
@@ -714,7 +718,7 @@
     fn release(&mut self, id: RequestId) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         if let (Some(rank), Some(g)) = (r.held.take(), self.groups.get_mut(&r.group)) {
-            g.held(r.writes).remove(&rank);
+            g.held[usize::from(r.writes)].remove(&rank);
         }
     }
 
@@ -725,7 +729,7 @@
         let new = !r.writes && r.arrived == now && r.attempts.is_empty() && r.probed.is_none();
         let Some(g) = self.groups.get(&r.group).filter(|_| new) else { return false };
         let spare = (r.aim_at.min(r.deadline) - now) as f64 - self.latency[r.class];
-        g.reads.len() as f64 / g.rate.per_us(now, self.span).max(f64::MIN_POSITIVE) > spare / 4.0
+        g.held[READS].len() as f64 / g.rate.per_us(now, self.span).max(f64::MIN_POSITIVE) > spare / 4.0
     }
 
     fn send(&mut self, now: Micros, id: RequestId, member: MemberId, out: &mut Vec<Action>) {
@@ -773,8 +777,7 @@
             }
             // Errors between good answers, or on what erred elsewhere, follow the request, key or tenant.
             Outcome::Error if erred || m.errors + 1 < ERRORS => m.errors += u32::from(!erred),
-            // One connection that broke says little of the member behind it: if that is down, the next
-            // attempt finds no connection, or more of those that are out break.
+            // One broken connection says little of its member: if that is down, the next attempt finds none.
             Outcome::Reset if m.errors + 1 < ERRORS => m.errors += 1,
             Outcome::Full | Outcome::Error => {
                 self.shrink(now, member, class.map(|c| self.latency[c]));
@@ -883,12 +886,12 @@
     /// Tries what is held again, in the order of its rank. Writes all want the same member, so the first that
     /// finds no room ends it; reads differ in what is fresh enough for them, so a few are tried.
     fn pump(&mut self, now: Micros, group: GroupId, out: &mut Vec<Action>) {
-        for (writes, mut tries) in [(true, 1), (false, TRIES)] {
+        for (held, mut tries) in [(WRITES, 1), (READS, TRIES)] {
             let mut after = None;
             while tries > 0 {
                 let Some(g) = self.groups.get_mut(&group) else { return };
                 let from = after.map_or(Bound::Unbounded, Bound::Excluded);
-                let Some(&rank) = g.held(writes).range((from, Bound::Unbounded)).next() else { break };
+                let Some(&rank) = g.held[held].range((from, Bound::Unbounded)).next() else { break };
                 after = Some(rank);
                 let (.., id) = rank;
                 if self.may_resend(now, id) {
--- a/src/config.rs
+++ b/src/config.rs
@@ -12,6 +12,8 @@
     pub hosts: usize,
     /// Connections that are only told that there are too many.
     pub turned_away: usize,
+    /// Connections of operators.
+    pub door: usize,
     /// Requests open at once.
     pub requests: usize,
     /// Inputs that wait for the module's owner.
@@ -35,8 +37,12 @@
     pub startup_message: usize,
     /// The longest message of a client.
     pub message: usize,
-    /// The longest answer of a host.
+    /// Answers of an HTTP host up to this are held until they are whole.
     pub answer: usize,
+    /// Rows of a PostgreSQL host up to this are held until they are whole, and asked for again if they are not.
+    pub whole: usize,
+    /// The longest row of a PostgreSQL host.
+    pub row: usize,
     /// The longest head of an HTTP message.
     pub head: usize,
     /// Headers of an HTTP message.
@@ -110,6 +116,8 @@
     pub reserved: usize,
     /// Memory that it may use, in MB.
     pub memory_mb: f64,
+    /// Operators have a door of their own.
+    pub door: bool,
 }
 
 impl Machine {
@@ -117,17 +125,29 @@
     /// peers, and a file that is read.
     pub fn platform(sockets: Option<usize>, memory_mb: Option<f64>) -> Machine {
         let memory_mb = memory_mb.filter(|mb| *mb >= 1.0).unwrap_or(MEMORY_MB);
-        Machine { sockets: sockets.unwrap_or(1024), reserved: 20, memory_mb }
+        Machine { sockets: sockets.unwrap_or(1024), reserved: 20, memory_mb, door: false }
+    }
+
+    /// The same with a door for operators: its connections are nobody else's.
+    pub fn with_door(self) -> Machine {
+        Machine { reserved: self.reserved + DOOR + DOOR / 4 + 1, door: true, ..self }
+    }
+
+    /// Half of it, where a process runs beside the one that it replaces: the two count as one.
+    pub fn half(self) -> Machine {
+        Machine { sockets: self.sockets / 2, memory_mb: self.memory_mb / 2.0, ..self }
     }
 
     /// With an operator's file: the same, and the store with its clients and peers.
     pub fn operator(sockets: usize) -> Machine {
-        Machine { sockets, reserved: 40, memory_mb: MEMORY_MB }
+        Machine { sockets, reserved: 40, memory_mb: MEMORY_MB, door: false }
     }
 }
 
 /// Memory where nothing is said of it.
 const MEMORY_MB: f64 = 192.0;
+/// Connections of operators at once: some say nothing for seconds.
+const DOOR: usize = 16;
 /// A pooler that is alone takes nothing new for so long before its end.
 const LAST_CALL: Duration = Duration::from_millis(250);
 /// The longest value.
@@ -140,7 +160,7 @@
     }
     /// Limits for a process on such a machine.
     pub fn on(machine: Machine) -> Limits {
-        let Machine { sockets, reserved, memory_mb } = machine;
+        let Machine { sockets, reserved, memory_mb, door } = machine;
         let free = sockets.saturating_sub(reserved).max(16);
         // An open request needs one connection on each side; idle and silent ones pile up on the clients'.
         let (clients, turned_away) = (free / 2, free / 16);
@@ -149,6 +169,7 @@
             clients,
             turned_away,
             hosts: free - clients - turned_away,
+            door: if door { DOOR } else { 0 },
             requests: 4096,
             crowded: clients,
             client_idle: Duration::from_secs(60),
@@ -162,8 +183,10 @@
             startup_message: 10_000,
             // Values hold 64 KiB at the most; in a statement each byte takes two digits.
             message: 2 * VALUE + 4 * 1024,
-            // Hosts have been seen to give values of 450 KiB, though 64 KiB are agreed on.
             answer: 1024 * 1024,
+            whole: VALUE,
+            // Values run to 4 MiB.
+            row: 4 * 1024 * 1024 + 1024,
             head: 16 * 1024,
             headers: 100,
             list: 4 * 1024 * 1024,
@@ -197,6 +220,18 @@
             ready: Duration::from_millis(500),
         }
     }
+    /// Limits of the operators' door: calls are few and short, and share nothing with clients.
+    pub fn for_door(&self) -> Limits {
+        Limits {
+            clients: self.door,
+            turned_away: self.door / 4,
+            crowded: self.door,
+            client_idle: self.startup,
+            message: 4 * 1024,
+            head: 4 * 1024,
+            ..self.clone()
+        }
+    }
     /// All clients together hold at most so many connections for requests: those that lie idle are taken from
     /// those that ask, and end soon.
     pub fn clients_hold(&mut self, most: usize) {
--- a/src/core/classes.rs
+++ b/src/core/classes.rs
@@ -36,6 +36,15 @@
         }
     }
 
+    /// Names of the classes, and for every class number, twins included, that of its name.
+    pub fn names(&self) -> (&[String], Vec<usize>) {
+        let own = 0..self.keyless.len();
+        let mut named: Vec<usize> = own.clone().collect();
+        // Twins were added in the order of their classes.
+        named.extend(own.filter(|n| self.keyless[*n].is_some()));
+        (&self.names[..self.keyless.len()], named)
+    }
+
     /// The number of a class by its name, for a request with or without a key.
     pub fn find(&self, name: &str, keyed: bool) -> Option<usize> {
         let n = self.names.iter().take(self.keyless.len()).position(|c| c == name)?;
--- /dev/null
+++ b/src/core/figures.rs
@@ -0,0 +1,116 @@
+//! What the pooler reports of itself: counts that grow from the start of the process, fed by the core for every
+//! front, and the text that an operator is given.
+
+use super::classes::Classes;
+use std::fmt::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Served.
+    Success,
+    /// Refused.
+    Overload,
+    /// Failed.
+    Error,
+}
+
+/// What holds at the moment of the question.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Gauges {
+    /// Requests taken and not ended.
+    pub concurrent: usize,
+    /// Hosts on the list.
+    pub targets: usize,
+    /// Those among them that the module avoids.
+    pub disabled: usize,
+}
+
+/// The counts.
+#[derive(Debug, Default)]
+pub struct Figures {
+    /// Names of the classes, each with its counts by [`End`].
+    classes: Vec<(String, [AtomicU64; 3])>,
+    /// For every number of a class, that of its name: a class and its twin without keys are one.
+    named: Vec<usize>,
+    dispatches: AtomicU64,
+}
+
+impl Figures {
+    /// Nothing has happened yet. All classes are there, also those that no request names.
+    pub fn new(classes: &Classes) -> Figures {
+        let (names, named) = classes.names();
+        let classes = names.iter().map(|name| (name.clone(), Default::default())).collect();
+        Figures { classes, named, dispatches: AtomicU64::new(0) }
+    }
+
+    /// A request of this class has its final answer.
+    pub fn ended(&self, class: usize, end: End) {
+        if let Some((_, counts)) = self.named.get(class).and_then(|n| self.classes.get(*n)) {
+            counts[end as usize].fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// An attempt was written whole to a host.
+    pub fn dispatched(&self) {
+        self.dispatches.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The figures as text, a line each.
+    pub fn text(&self, gauges: Gauges) -> String {
+        let mut out = String::new();
+        for (name, counts) in &self.classes {
+            for (what, count) in ["success", "overload", "error"].iter().zip(counts) {
+                let _ = writeln!(out, "svc.{what}.{name}:{}|c", count.load(Ordering::Relaxed));
+            }
+        }
+        let _ = writeln!(out, "svc.dispatches:{}|c", self.dispatches.load(Ordering::Relaxed));
+        let Gauges { concurrent, targets, disabled } = gauges;
+        for (name, value) in
+            [("concurrent", concurrent), ("targets", targets), ("targets_disabled", disabled)]
+        {
+            let _ = writeln!(out, "svc.{name}:{value}|g");
+        }
+        out
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::interface::{Class, Repeat, Settings};
+
+    /// Guards against a keyed class that is told as two, and against classes that are missing until they are asked.
+    #[test]
+    fn every_class_of_the_settings_is_told_once_with_both_kinds_of_its_requests() {
+        let class = |repeat| Class { repeat: Some(repeat), ..Class::default() };
+        let mut settings =
+            Settings { classes: vec![class(Repeat::Keyed), class(Repeat::Safe)], ..Settings::default() };
+        let classes = Classes::new(vec!["write".into(), "read".into()], &mut settings);
+        let figures = Figures::new(&classes);
+        for keyed in [true, false] {
+            figures.ended(classes.find("write", keyed).unwrap(), End::Success);
+        }
+        figures.ended(classes.find("write", false).unwrap(), End::Error);
+        figures.ended(99, End::Error);
+        figures.dispatched();
+        let text = figures.text(Gauges { concurrent: 3, targets: 5, disabled: 1 });
+        let lines: Vec<&str> = text.lines().collect();
+        assert_eq!(
+            lines,
+            [
+                "svc.success.write:2|c",
+                "svc.overload.write:0|c",
+                "svc.error.write:1|c",
+                "svc.success.read:0|c",
+                "svc.overload.read:0|c",
+                "svc.error.read:0|c",
+                "svc.dispatches:1|c",
+                "svc.concurrent:3|g",
+                "svc.targets:5|g",
+                "svc.targets_disabled:1|g",
+            ]
+        );
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! [`Final`] with an answer `A`; a host side carries out [`Command`]s and reports how each attempt ended.
 
 pub mod classes;
+pub mod figures;
 pub mod members;
 pub mod owner;
 
@@ -12,6 +13,8 @@
 use crate::interface::*;
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
+use classes::Classes;
+use figures::{Figures, Gauges};
 use futures_lite::future;
 use members::{Host, Listing};
 use owner::Owner;
@@ -115,6 +118,8 @@
         /// It was remembered from before the start.
         cached: bool,
     },
+    /// What holds now is told there.
+    Gauges(Sender<Gauges>),
     /// Whatever is open gets its final answer now: the program ends.
     End,
     /// End the thread.
@@ -187,6 +192,7 @@
     next: Arc<AtomicU64>,
     /// The longest time that a client gave a request.
     patience: Arc<AtomicI64>,
+    figures: Arc<Figures>,
     clock: Clock,
 }
 
@@ -197,6 +203,7 @@
             control: self.control.clone(),
             next: self.next.clone(),
             patience: self.patience.clone(),
+            figures: self.figures.clone(),
             clock: self.clock.clone(),
         }
     }
@@ -208,6 +215,18 @@
         &self.clock
     }
 
+    /// What is counted.
+    pub fn figures(&self) -> &Figures {
+        &self.figures
+    }
+
+    /// What holds now; the core answers ahead of requests that wait. `None`: it has ended.
+    pub async fn gauges(&self) -> Option<Gauges> {
+        let (reply, gauges) = async_channel::bounded(1);
+        self.control(Control::Gauges(reply)).await;
+        gauges.recv().await.ok()
+    }
+
     /// Hands in a request; waits while the queue is full. `None`: the core has ended.
     pub async fn submit(
         &self,
@@ -250,6 +269,7 @@
 /// Starts the thread that owns the module.
 pub fn start<W, A>(
     settings: Settings,
+    classes: &Classes,
     seed: u64,
     limits: &Limits,
     clock: Clock,
@@ -262,12 +282,13 @@
     let (control, urgent) = async_channel::bounded(limits.queue);
     // Never full to block on: each open request has one attempt out at the most.
     let (commands, out) = async_channel::unbounded();
-    let owner = Owner::new(settings, seed, limits);
+    let figures = Arc::new(Figures::new(classes));
+    let owner = Owner::new(settings, seed, limits, figures.clone());
     let own_clock = clock.clone();
     let thread = std::thread::Builder::new().name("module".into());
     thread.spawn(move || run(owner, &own_clock, &urgent, &queue, &commands))?;
     let (next, patience) = (Arc::new(AtomicU64::new(1)), Arc::default());
-    Ok((Handle { inputs, control, next, patience, clock }, out))
+    Ok((Handle { inputs, control, next, patience, figures, clock }, out))
 }
 
 enum Woken<W, A> {
@@ -307,6 +328,7 @@
             Woken::Control(Control::List { list, cached }) => {
                 owner.list(clock.now(), &list, cached, &mut out)
             }
+            Woken::Control(Control::Gauges(reply)) => drop(reply.try_send(owner.gauges(clock.now()))),
             Woken::Control(Control::End) => owner.end(clock.now(), &mut out),
             Woken::Input(input) => owner.input(clock.now(), input, &mut out),
             Woken::Timer => {}
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -3,6 +3,7 @@
 //! What it guards for every front: one final answer for each request, one attempt out at a time, results
 //! that come after the end are told to the module and dropped, and a client that has gone ends its attempt.
 
+use super::figures::{End, Figures, Gauges};
 use super::members::{Listing, Members};
 use super::{Command, Ended, Final, Input, Need, Submission};
 use crate::Router;
@@ -11,6 +12,7 @@
 use async_channel::Sender;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::Arc;
 
 /// Clocks of hosts may be ahead by this.
 const AHEAD: Micros = 1_000_000;
@@ -21,6 +23,7 @@
     deadline: Micros,
     attempts: u8,
     need: Need,
+    class: usize,
 }
 
 struct Flight {
@@ -35,6 +38,15 @@
     Some(Mark { position: mark.position.min(now), ..mark })
 }
 
+/// What a final answer counts as.
+fn end_of<A>(answer: &Final<A>) -> End {
+    match answer {
+        Final::Served(_) => End::Success,
+        Final::Refused { .. } => End::Overload,
+        Final::Failed { .. } | Final::UnknownGroup => End::Error,
+    }
+}
+
 /// The module with all that belongs to its requests.
 pub struct Owner<W, A> {
     router: Router,
@@ -44,18 +56,19 @@
     most: usize,
     overdue: Micros,
     open: BTreeMap<RequestId, Open<W, A>>,
-    /// Requests whose answer has begun; nothing more is owed, but their client may go.
-    begun: BTreeSet<RequestId>,
+    /// Requests whose answer has begun, with their class; nothing more is owed, but their client may go.
+    begun: BTreeMap<RequestId, usize>,
     out: BTreeMap<(RequestId, u8), Flight>,
     deadlines: BTreeSet<(Micros, RequestId)>,
     timers: BTreeSet<(Micros, u64)>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
+    figures: Arc<Figures>,
 }
 
 impl<W: Clone, A> Owner<W, A> {
     /// An owner of a fresh module.
-    pub fn new(settings: Settings, seed: u64, limits: &Limits) -> Self {
+    pub fn new(settings: Settings, seed: u64, limits: &Limits, figures: Arc<Figures>) -> Self {
         Owner {
             router: Router::new(settings.clone(), seed),
             settings,
@@ -64,12 +77,13 @@
             most: limits.requests,
             overdue: limits.overdue.as_micros() as Micros,
             open: BTreeMap::new(),
-            begun: BTreeSet::new(),
+            begun: BTreeMap::new(),
             out: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             timers: BTreeSet::new(),
             events: VecDeque::new(),
             actions: Vec::new(),
+            figures,
         }
     }
 
@@ -85,6 +99,12 @@
         self.open.len()
     }
 
+    /// What holds now. What is avoided is the module's to tell.
+    pub fn gauges(&self, now: Micros) -> Gauges {
+        let (targets, disabled) = self.router.avoids(now);
+        Gauges { concurrent: self.open.len() + self.begun.len(), targets, disabled }
+    }
+
     /// Fires what is due.
     pub fn due(&mut self, now: Micros, commands: &mut Vec<Command<W>>) {
         while let Some(&(at, timer)) = self.timers.first()
@@ -124,7 +144,10 @@
                 if let Some(open) = &open {
                     self.deadlines.remove(&(open.deadline + self.overdue, id));
                 }
-                if self.begun.remove(&id) || open.is_some() {
+                let class = open.as_ref().map(|open| open.class).or(self.begun.remove(&id));
+                if let Some(class) = class {
+                    // Its client has gone: whatever is still to come reaches nobody.
+                    self.figures.ended(class, End::Error);
                     self.tell(now, Event::Lapsed { id }, commands);
                 }
             }
@@ -133,8 +156,7 @@
                 let member = flight.member;
                 // One that was given up meanwhile has its answer: this one is dropped, which ends the attempt.
                 if self.open.contains_key(&id) {
-                    self.finish(id, Final::Served(answer));
-                    self.begun.insert(id);
+                    self.begin(id, answer);
                     self.tell(now, Event::Started { id, attempt, member }, commands);
                 }
             }
@@ -157,6 +179,7 @@
             None
         };
         if let Some(answer) = early {
+            self.figures.ended(ask.class, end_of(&answer));
             let _ = reply.try_send(answer);
             return;
         }
@@ -167,7 +190,7 @@
             Some((Consistency::Strong, _)) => Need::Since(now),
             _ => Need::Any,
         };
-        self.open.insert(ask.id, Open { work, reply, deadline, attempts: 0, need });
+        self.open.insert(ask.id, Open { work, reply, deadline, attempts: 0, need, class: ask.class });
         self.deadlines.insert((deadline + self.overdue, ask.id));
         let ask = Ask { patience: (deadline - now).max(0), ..ask };
         self.tell(now, Event::Request(ask), commands);
@@ -183,7 +206,10 @@
             // One that was given up meanwhile has its answer: this one is dropped.
             self.finish(id, Final::Served(answer));
         }
-        self.begun.remove(&id);
+        // Counted once it is whole: what broke off in its midst is no success.
+        if let Some(class) = self.begun.remove(&id) {
+            self.figures.ended(class, if served { End::Success } else { End::Error });
+        }
         let event = Settled {
             id,
             attempt,
@@ -224,9 +250,19 @@
         }
     }
 
+    /// Hands out an answer that is still to come; it is counted when it has.
+    fn begin(&mut self, id: RequestId, answer: A) {
+        if let Some(open) = self.open.remove(&id) {
+            self.deadlines.remove(&(open.deadline + self.overdue, id));
+            self.begun.insert(id, open.class);
+            let _ = open.reply.try_send(Final::Served(answer));
+        }
+    }
+
     fn finish(&mut self, id: RequestId, answer: Final<A>) {
         if let Some(open) = self.open.remove(&id) {
             self.deadlines.remove(&(open.deadline + self.overdue, id));
+            self.figures.ended(open.class, end_of(&answer));
             let _ = open.reply.try_send(answer);
         }
     }
@@ -351,6 +387,7 @@
 
 #[cfg(test)]
 mod tests {
+    use super::super::classes::Classes;
     use super::super::members::Listed;
     use super::*;
     use async_channel::Receiver;
@@ -371,7 +408,10 @@
             behind: Some(Behind::Waits),
             ..Settings::default()
         };
-        let mut owner = Owner::new(settings, 1, &Limits { requests: 3, ..Limits::for_sockets(64) });
+        let mut settings = settings;
+        let figures = Arc::new(Figures::new(&Classes::new(vec!["read".into()], &mut settings)));
+        let limits = Limits { requests: 3, ..Limits::for_sockets(64) };
+        let mut owner = Owner::new(settings, 1, &limits, figures);
         let line = |name: &str| Listed {
             name: name.into(),
             address: ([127, 0, 0, 1], 1).into(),
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 
 use crate::config::Limits;
 use crate::core::{Command, Control, Handle};
+use crate::net::duty::Duty;
 use crate::net::hosts::{Hosts, Wire};
 use crate::net::listen::{self, Place, Seats, Welcome};
 use crate::net::until;
@@ -17,7 +18,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Where tasks run: one thread serves all sockets.
 pub type Executor = Rc<LocalExecutor<'static>>;
@@ -79,12 +80,24 @@
     })
 }
 
+/// To whom a pooler that ends leaves its clients.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Leave {
+    /// The others of its tier.
+    Others,
+    /// Nobody: it serves those that it has as long as it can.
+    Nobody,
+    /// A process that listens on the same socket.
+    Successor,
+}
+
 /// Serves until SIGTERM, then until all that was taken is answered; an error if the core ends before.
 pub async fn until_drained<W, A>(
     limits: &Limits,
     seats: &Seats,
+    duty: &Duty,
     handle: &Handle<W, A>,
-    alone: bool,
+    leave: Leave,
     accepting: Task<()>,
     carrying: Task<()>,
 ) -> Result<(), String> {
@@ -96,7 +109,10 @@
     let drained = async {
         signalled(&mut signals).await;
         let began = Instant::now();
-        let (lame, end) = limits.ending(handle.patience(), alone);
+        duty.end();
+        let (lame, end) = limits.ending(handle.patience(), leave == Leave::Nobody);
+        // Whoever comes now is the successor's, which listens on the same socket.
+        let lame = if leave == Leave::Successor { Duration::ZERO } else { lame };
         let end = began + end;
         log::info!("SIGTERM: draining, serving for {lame:?} more");
         // The front layer deals out connections a little longer, and clients use those that they have for as
--- a/src/daemon/operator.rs
+++ b/src/daemon/operator.rs
@@ -1,11 +1,12 @@
 //! With an operator's file: the SPARQL front, with a store of its own that keeps configuration and state.
 
 use super::file::{self, Operator};
-use super::{Executor, accept, carry, signal, signalled, until_drained};
+use super::{Executor, Leave, accept, carry, signal, signalled, until_drained};
 use crate::clock::Clock;
 use crate::config::Limits;
 use crate::core::classes::Classes;
 use crate::core::{self, Control, Handle};
+use crate::net::duty::Duty;
 use crate::net::hosts::Hosts;
 use crate::net::link::Link;
 use crate::net::listen::{self, Seats};
@@ -128,7 +129,7 @@
 
     // The store first: whoever is drained elsewhere must not be sent anything here.
     let few = Rc::new(Limits { clients: 32, turned_away: 4, ..limits.clone() });
-    let store_seats = Seats::new(few.clone());
+    let store_seats = Seats::new(few.clone(), Rc::default());
     let serving = {
         let (shared, clock) = (shared.clone(), clock.clone());
         accept(&executor, store_listener, &store_seats, move |stream, place, welcome| {
@@ -181,7 +182,7 @@
     let fields = settings.report_fields.clone();
     let seed = clock.now() as u64;
     let (handle, commands) =
-        core::start(settings, seed, &limits, clock.clone()).map_err(|e| format!("module: {e}"))?;
+        core::start(settings, &classes, seed, &limits, clock.clone()).map_err(|e| format!("module: {e}"))?;
 
     {
         let (operator, shared, limits) = (operator.clone(), shared.clone(), limits.clone());
@@ -202,11 +203,13 @@
     log::info!("{}: SPARQL at http://{at}{}", operator.name, operator.service.path);
     let service = operator.service.clone();
     let ending = handle.clone();
-    let front = Rc::new(Front { limits: limits.clone(), handle, classes, service, ready });
-    let seats = Seats::new(limits.clone());
+    let duty = Rc::new(Duty::default());
+    let front =
+        Rc::new(Front { limits: limits.clone(), handle, classes, service, ready, duty: duty.clone() });
+    let seats = Seats::new(limits.clone(), duty.clone());
     let accepting = accept(&executor, listener, &seats, move |stream, place, welcome| {
         let front = front.clone();
         async move { front.serve(stream, place, welcome).await }
     });
-    until_drained(&limits, &seats, &ending, false, accepting, carrying).await
+    until_drained(&limits, &seats, &duty, &ending, Leave::Others, accepting, carrying).await
 }
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -1,21 +1,24 @@
 //! On the platform: the PostgreSQL front, with what `GW_CONFIG` names. The SPARQL front is off here.
 
-use super::{Executor, accept, carry, signal, signalled, until_drained};
+use super::{Executor, Leave, accept, carry, signal, signalled, until_drained};
 use crate::clock::Clock;
 use crate::config::{Limits, Machine};
 use crate::core::classes::Classes;
 use crate::core::members::Listing;
 use crate::core::{self, Command, Control, Input};
 use crate::json::{self, Platform};
+use crate::net::door::Door;
+use crate::net::duty::Duty;
 use crate::net::hosts::Hosts;
 use crate::net::peers::Peers;
 use crate::net::pg::front::Front;
 use crate::net::pg::host::Pg;
-use crate::net::{discovery as watcher, listen};
+use crate::net::{discovery as watcher, listen, passed};
 use crate::store::{Store, view};
 use async_channel::Sender;
-use async_io::Async;
+use async_io::{Async, Timer};
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 use std::rc::Rc;
@@ -24,11 +27,20 @@
 /// Reads the configuration; errors name file and line.
 pub fn load(path: &str) -> Result<Platform, String> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
-    json::platform(&text).map_err(|e| format!("{path}: {e}"))
+    let mut platform = json::platform(&text).map_err(|e| format!("{path}: {e}"))?;
+    if platform.admin.is_none()
+        && let Some(at) = std::env::var("GW_ADMIN_ADDR").ok().filter(|at| !at.is_empty())
+    {
+        platform.admin = Some(json::address(&at, "GW_ADMIN_ADDR")?);
+    }
+    platform.passed = std::env::var("GW_PASSED_SOCKET").ok();
+    Ok(platform)
 }
 
 fn limits(platform: &Platform) -> Limits {
-    let mut limits = Limits::on(Machine::platform(platform.sockets, platform.memory_mb));
+    let machine = Machine::platform(platform.sockets, platform.memory_mb);
+    let machine = if platform.passed.is_some() { machine.half() } else { machine };
+    let mut limits = Limits::on(if platform.admin.is_some() { machine.with_door() } else { machine });
     limits.clients_hold(platform.sockets.unwrap_or(1024) / 3);
     limits.hosts_idle_for(platform.conn_idle);
     if let Some(connect) = platform.settings.connect_timeout {
@@ -65,24 +77,42 @@
     let alone = settings.drivers == Some(1);
     let classes = Classes::new(platform.classes, &mut settings);
     let fields = settings.report_fields.clone();
-    let (handle, commands) =
-        core::start(settings, platform.seed, &limits, clock.clone()).map_err(|e| format!("module: {e}"))?;
+    let (handle, commands) = core::start(settings, &classes, platform.seed, &limits, clock.clone())
+        .map_err(|e| format!("module: {e}"))?;
     // Here the store has no peers and no file: it keeps the last known list in memory, fed by discovery.
     let store = Rc::new(RefCell::new(Store::new(platform.name.clone(), true).without_tombstones()));
+    let known = platform.known.is_some();
     if let Some(known) = platform.known {
         let known = Listing { whole: true, ..known };
         view::take_list(&mut store.borrow_mut(), &known);
         let list = view::listing(&store.borrow());
         handle.control(Control::List { list, cached: true }).await;
     }
-    let listener = listen::open(platform.listen).map_err(|e| format!("{}: {e}", platform.listen))?;
-    let peers = match platform.peer_listen {
-        Some(at) => {
-            let peers = Peers::open(at, platform.peers, platform.peers_all, &limits);
-            Some(Rc::new(peers.map_err(|e| format!("{at}: {e}"))?))
+    let succeeds = platform.passed.is_some();
+    let listener = match &platform.passed {
+        Some(number) => {
+            Async::new(passed::listener(number)?).map_err(|e| format!("GW_PASSED_SOCKET: {e}"))?
         }
-        None => None,
+        None => listen::open(platform.listen).map_err(|e| format!("{}: {e}", platform.listen))?,
     };
+    let peers = Rc::new(Peers::new(platform.peers, platform.peers_all, &limits));
+    if let Some(at) = platform.peer_listen {
+        match peers.open(at) {
+            // The process that this one replaces still has it.
+            Err(e) if succeeds && e.kind() == io::ErrorKind::AddrInUse => {
+                log::info!("{at}: {e}; once it is free")
+            }
+            opened => opened.map_err(|e| format!("{at}: {e}"))?,
+        }
+        let (peers, handle, period) = (peers.clone(), handle.clone(), limits.period);
+        let task = async move {
+            while peers.open(at).is_err() {
+                Timer::after(period).await;
+            }
+            peers.listen(|from, bytes| handle.input(Input::Peer { from, bytes })).await;
+        };
+        executor.spawn(task).detach();
+    }
     let at = listener.get_ref().local_addr().unwrap_or(platform.listen);
     log::info!("{}: clients at {at}, discovery at {}", platform.name, platform.discovery);
     log::info!(
@@ -99,6 +129,28 @@
         executor.spawn(async move { reload(&path, hangup, &discovery, &fetch).await }).detach();
     }
     let (listed, ready) = async_channel::bounded::<()>(1);
+    if known {
+        // While discovery is silent the list from before serves: to wait for a newer one would serve nobody.
+        let (listed, wait) = (listed.clone(), limits.ready);
+        let task = async move {
+            Timer::after(wait).await;
+            listed.close();
+        };
+        executor.spawn(task).detach();
+    }
+    let duty = Rc::new(Duty::default());
+    if let Some(at) = platform.admin {
+        let listener = listen::open(at).map_err(|e| format!("admin_addr {at}: {e}"))?;
+        let at = listener.get_ref().local_addr().unwrap_or(at);
+        log::info!("{}: operators at http://{at}", platform.name);
+        let door = Rc::new(Door::new(&limits, handle.clone(), duty.clone(), ready.clone()));
+        let seats = listen::Seats::new(door.limits().clone(), Rc::default());
+        let serving = accept(&executor, listener, &seats, move |stream, place, welcome| {
+            let door = door.clone();
+            async move { door.serve(stream, place, welcome).await }
+        });
+        serving.detach();
+    }
     {
         let (limits, handle) = (limits.clone(), handle.clone());
         let zones = platform.zones;
@@ -116,29 +168,36 @@
         };
         executor.spawn(task).detach();
     }
-    if let Some(peers) = peers.clone() {
-        let handle = handle.clone();
-        let task = async move {
-            peers.listen(|from, bytes| handle.input(Input::Peer { from, bytes })).await;
-        };
-        executor.spawn(task).detach();
-    }
     let hosts = Hosts::new(Pg::new(limits.clone(), fields), limits.clone(), clock);
     let carrying = carry(&executor, &hosts, commands, &handle, async move |command| match command {
         Command::Tell { to, bytes } => {
-            if let Some(peers) = &peers {
-                peers.tell(to, &bytes).await;
-            }
+            peers.tell(to, &bytes).await;
         }
         Command::FetchList => drop(fetch.try_send(())),
         _ => {}
     });
+    if succeeds {
+        // Until this process can serve, all clients are the other one's.
+        while ready.recv().await.is_ok() {}
+    }
     let ending = handle.clone();
-    let front = Rc::new(Front { limits: limits.clone(), handle, classes, ready, open: Default::default() });
-    let seats = listen::Seats::new(limits.clone());
+    let front = Rc::new(Front {
+        limits: limits.clone(),
+        handle,
+        classes,
+        ready,
+        duty: duty.clone(),
+        open: Default::default(),
+    });
+    let seats = listen::Seats::new(limits.clone(), duty.clone());
     let accepting = accept(&executor, listener, &seats, move |stream, place, welcome| {
         let front = front.clone();
         async move { front.serve(stream, place, welcome).await }
     });
-    until_drained(&limits, &seats, &ending, alone, accepting, carrying).await
+    let leave = match alone {
+        _ if succeeds => Leave::Successor,
+        true => Leave::Nobody,
+        false => Leave::Others,
+    };
+    until_drained(&limits, &seats, &duty, &ending, leave, accepting, carrying).await
 }
--- a/src/json.rs
+++ b/src/json.rs
@@ -43,6 +43,7 @@
     peers: Option<Vec<String>>,
     peers_all: Option<String>,
     known: Option<RawList>,
+    admin_addr: Option<String>,
     settings: Value,
 }
 
@@ -67,6 +68,10 @@
     pub peers: Vec<SocketAddr>,
     /// All poolers of the tier.
     pub peers_all: Option<SocketAddr>,
+    /// The descriptor of the clients' listening socket, where the platform holds it.
+    pub passed: Option<String>,
+    /// Where operators call.
+    pub admin: Option<SocketAddr>,
     /// The list as this pooler last had it.
     pub known: Option<Listing>,
     /// The settings of the service.
@@ -79,7 +84,8 @@
     pub conn_idle: Option<f64>,
 }
 
-fn address(text: &str, what: &str) -> Result<SocketAddr, String> {
+/// Reads an address; errors name `what`.
+pub fn address(text: &str, what: &str) -> Result<SocketAddr, String> {
     text.parse().map_err(|_| format!("{what}: {text:?} is not an address with a port"))
 }
 
@@ -216,6 +222,8 @@
         peer_listen: raw.peer_listen.map(|a| place("peer_listen", &a)).transpose()?,
         peers: raw.peers.unwrap_or_default().iter().map(|a| place("peers", a)).collect::<Result<_, _>>()?,
         peers_all: raw.peers_all.map(|a| place("peers_all", &a)).transpose()?,
+        passed: None,
+        admin: raw.admin_addr.filter(|a| !a.is_empty()).map(|a| place("admin_addr", &a)).transpose()?,
         known: raw.known.map(|k| listing(k, &zones).map_err(|e| at("known", "", e))).transpose()?,
         settings,
         classes,
--- /dev/null
+++ b/src/net/door.rs
@@ -0,0 +1,110 @@
+//! The operators' door: HTTP/1.1, one call a connection, on an address of its own.
+
+use super::buffer::Buffer;
+use super::duty::{Duty, State};
+use super::http::server::{self, Next, Request};
+use super::link::Link;
+use super::listen::{Place, Welcome};
+use super::until;
+use crate::config::Limits;
+use crate::core::Handle;
+use crate::core::figures::Gauges;
+use async_channel::Receiver;
+use async_io::Async;
+use std::cell::Cell;
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::time::Instant;
+
+/// What all calls share.
+pub struct Door<W, A> {
+    limits: Rc<Limits>,
+    handle: Handle<W, A>,
+    duty: Rc<Duty>,
+    /// Closed once the process can serve.
+    ready: Receiver<()>,
+    /// What held when the core was asked last.
+    last: Cell<Gauges>,
+}
+
+/// A path, the method that it takes, and what is called there.
+const CALLS: [(&str, &str, Call); 4] = [
+    ("/v1/readyz", "GET", Call::Ready),
+    ("/v1/metrics", "GET", Call::Metrics),
+    ("/v1/pooler/drain", "PUT", Call::Drain),
+    ("/v1/pooler/activate", "PUT", Call::Activate),
+];
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Call {
+    Ready,
+    Metrics,
+    Drain,
+    Activate,
+}
+
+/// What is called, or the answer to a call that is none, with the methods that there are.
+fn call(request: &Request) -> Result<Call, (u16, &'static str)> {
+    let (path, method) = (request.target().0, request.head.line[0].as_str());
+    match CALLS.iter().find(|(p, ..)| *p == path) {
+        Some((_, m, call)) if *m == method => Ok(*call),
+        Some((_, m, _)) => Err((405, m)),
+        None => Err((404, "")),
+    }
+}
+
+impl<W, A> Door<W, A> {
+    /// A door with limits of its own: calls are few and short.
+    pub fn new(limits: &Limits, handle: Handle<W, A>, duty: Rc<Duty>, ready: Receiver<()>) -> Door<W, A> {
+        Door { limits: Rc::new(limits.for_door()), handle, duty, ready, last: Cell::default() }
+    }
+
+    /// The limits of its connections.
+    pub fn limits(&self) -> &Rc<Limits> {
+        &self.limits
+    }
+
+    /// Serves one connection to its end.
+    pub async fn serve(&self, stream: Async<TcpStream>, place: Place, welcome: Welcome) {
+        let mut link = Link::new(stream, place, self.limits.clone(), self.handle.clock().clone());
+        let mut buffer = Buffer::default();
+        let answer = match welcome {
+            Welcome::TurnedAway => server::answer(503, &[], "too many calls at once"),
+            Welcome::Served => match server::next(&mut link, &mut buffer, &self.limits).await {
+                Next::Over => return,
+                Next::Refused(status, why) => {
+                    log::debug!("door: {why}");
+                    server::answer(status, &[], &why)
+                }
+                Next::Request(request) => self.answer(&request).await,
+            },
+        };
+        if link.write(&server::with_end(answer, true)).await.is_ok() {
+            let _ = link.linger().await;
+        }
+    }
+
+    async fn answer(&self, request: &Request) -> Vec<u8> {
+        let text = |yes: bool, text: &str| server::answer(if yes { 200 } else { 503 }, &[], text);
+        match call(request) {
+            Err((405, method)) => server::answer(405, &[("Allow", method)], "another method is wanted here"),
+            Err((status, _)) => server::answer(status, &[], "nothing is here"),
+            Ok(Call::Ready) => match self.duty.state() {
+                State::Ending => text(false, "ending"),
+                _ if !self.ready.is_closed() => text(false, "no list of hosts yet"),
+                State::Drained => text(true, "ready, drained"),
+                State::Serving => text(true, "ready"),
+            },
+            Ok(Call::Metrics) => {
+                // Late figures are worse than gauges of a moment ago.
+                let gauges = until(Instant::now() + self.limits.ready, self.handle.gauges()).await.flatten();
+                self.last.set(gauges.unwrap_or(self.last.get()));
+                let figures = self.handle.figures().text(self.last.get());
+                server::answer(200, &[], figures.trim_end())
+            }
+            Ok(Call::Drain) => text(self.duty.drain(), "drained"),
+            Ok(Call::Activate) if self.duty.activate() => text(true, "at work"),
+            Ok(Call::Activate) => server::answer(409, &[], "the pooler is ending"),
+        }
+    }
+}
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -86,6 +86,12 @@
         self.handle.clock().now()
     }
 
+    /// The last byte of the request was written.
+    pub fn written(&self) {
+        self.sent.set(true);
+        self.handle.figures().dispatched();
+    }
+
     /// Time until it is abandoned.
     pub fn left(&self) -> Micros {
         (self.stop_at - self.now()).max(0)
--- a/src/net/http/server.rs
+++ b/src/net/http/server.rs
@@ -46,6 +46,7 @@
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         415 => "Unsupported Media Type",
         431 => "Request Header Fields Too Large",
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -1,5 +1,6 @@
 //! A front's listener: connections within the limits, and what happens to them at the end.
 
+use super::duty::Duty;
 use crate::config::Limits;
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
@@ -43,6 +44,7 @@
 /// The connections of one front.
 pub struct Seats {
     limits: Rc<Limits>,
+    duty: Rc<Duty>,
     next: Cell<u64>,
     taken: RefCell<BTreeMap<u64, Rc<Seat>>>,
     turned_away: Cell<usize>,
@@ -63,9 +65,10 @@
 
 impl Seats {
     /// No connections yet.
-    pub fn new(limits: Rc<Limits>) -> Rc<Seats> {
+    pub fn new(limits: Rc<Limits>, duty: Rc<Duty>) -> Rc<Seats> {
         Rc::new(Seats {
             limits,
+            duty,
             next: Cell::new(0),
             taken: RefCell::default(),
             turned_away: Cell::new(0),
@@ -112,6 +115,17 @@
         goes.is_some_and(|seat| seat.end.close())
     }
 
+    /// Lets clients go while the pooler is drained, once the front layer has stopped to deal out connections: each
+    /// connection ends between two requests, and one on which none comes does not stay to ask late.
+    fn let_go(&self) {
+        for seat in self.taken.borrow().values() {
+            let (standing, since) = seat.stands.get();
+            if standing != Standing::Waiting || since.elapsed() >= self.limits.startup / 2 {
+                seat.end.close();
+            }
+        }
+    }
+
     /// Ends connections that have stood idle for long. While there are many, those that have asked no more than
     /// once end sooner: clients can hold only so many, and they would leave none to those that go on asking.
     fn relieve(&self) {
@@ -143,6 +157,9 @@
         loop {
             Timer::after(self.limits.relief).await;
             self.relieve();
+            if self.duty.drained_for(self.limits.lame) {
+                self.let_go();
+            }
         }
     }
 
@@ -265,7 +282,7 @@
     #[test]
     fn the_longest_idle_makes_room_and_the_rest_are_told() {
         let limits = Limits { clients: 2, turned_away: 1, ..Limits::for_sockets(64) };
-        let seats = Seats::new(Rc::new(limits));
+        let seats = Seats::new(Rc::new(limits), Rc::default());
         let take = || seats.seat().map(|(place, welcome)| (place, welcome == Welcome::Served));
         let (first, second) = (take().unwrap(), take().unwrap());
         let busy = |place: &Place| place.stands(Standing::Busy, Instant::now());
@@ -288,7 +305,7 @@
     #[test]
     fn those_that_say_nothing_make_room_first() {
         let limits = Limits { clients: 3, turned_away: 1, ..Limits::for_sockets(64) };
-        let (grace, seats) = (limits.grace, Seats::new(Rc::new(limits)));
+        let (grace, seats) = (limits.grace, Seats::new(Rc::new(limits), Rc::default()));
         let take = || seats.seat().map(|(place, _)| place).unwrap();
         let (idle, silent, busy) = (take(), take(), take());
         let ago = |span| Instant::now().checked_sub(span).unwrap();
@@ -312,7 +329,8 @@
     #[test]
     fn idle_connections_end_and_in_a_crowd_those_that_asked_once_go_first() {
         let limits = Limits { clients: 9, crowded: 3, ..Limits::for_sockets(64) };
-        let (grace, long, seats) = (limits.grace, limits.client_idle, Seats::new(Rc::new(limits)));
+        let (grace, long, seats) =
+            (limits.grace, limits.client_idle, Seats::new(Rc::new(limits), Rc::default()));
         let take = |asked: u32, idle: std::time::Duration| {
             let (place, _) = seats.seat().unwrap();
             (0..asked).for_each(|_| place.asked());
@@ -339,7 +357,7 @@
     #[test]
     fn long_messages_share_one_budget() {
         let limits = Limits { small: 10, held: 100, ..Limits::for_sockets(64) };
-        let seats = Seats::new(Rc::new(limits));
+        let seats = Seats::new(Rc::new(limits), Rc::default());
         let take = || seats.seat().map(|(place, _)| place).unwrap();
         let (mut one, mut two) = (take(), take());
         assert!(one.hold(60) && two.hold(10) && two.hold(40) && one.hold(50));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,10 +2,13 @@
 
 pub mod buffer;
 pub mod discovery;
+pub mod door;
+pub mod duty;
 pub mod hosts;
 pub mod http;
 pub mod link;
 pub mod listen;
+pub mod passed;
 pub mod peers;
 pub mod pg;
 pub mod sparql;
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -3,14 +3,15 @@
 use crate::config::Limits;
 use crate::hint::Hint;
 use async_io::Async;
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::future::Future;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 
 /// The socket and the addresses of the tier.
 pub struct Peers {
-    socket: Async<UdpSocket>,
+    /// None where nothing is listened to, or another process still has the address.
+    socket: OnceCell<Async<UdpSocket>>,
     each: Vec<SocketAddr>,
     all: Option<SocketAddr>,
     most: usize,
@@ -19,28 +20,27 @@
 }
 
 impl Peers {
-    /// Listens for the tier's datagrams.
-    pub fn open(
-        listen: SocketAddr,
-        each: Vec<SocketAddr>,
-        all: Option<SocketAddr>,
-        limits: &Limits,
-    ) -> io::Result<Peers> {
-        Ok(Peers {
-            socket: Async::<UdpSocket>::bind(listen)?,
-            each,
-            all,
-            most: limits.datagram,
-            dropped: Cell::default(),
-        })
+    /// The tier, not heard yet.
+    pub fn new(each: Vec<SocketAddr>, all: Option<SocketAddr>, limits: &Limits) -> Peers {
+        Peers { socket: OnceCell::new(), each, all, most: limits.datagram, dropped: Cell::default() }
+    }
+
+    /// Listens for the tier's datagrams, if it does not yet.
+    pub fn open(&self, listen: SocketAddr) -> io::Result<()> {
+        if self.socket.get().is_none() {
+            let _ = self.socket.set(Async::<UdpSocket>::bind(listen)?);
+        }
+        Ok(())
     }
 
     /// Sends to one peer, or to all. One that is too long is not sent: it would void the run.
     pub async fn tell(&self, to: Option<u16>, bytes: &[u8]) {
         let address = to.map_or(self.all, |n| self.each.get(usize::from(n)).copied());
+        // Peers know a pooler by its address: from any other they would not hear it.
+        let Some(socket) = self.socket.get() else { return };
         match address {
             Some(address) if bytes.len() <= self.most => {
-                let _ = self.socket.send_to(bytes, address).await;
+                let _ = socket.send_to(bytes, address).await;
             }
             _ => log::warn!("peers: a message of {} bytes to {to:?} was not sent", bytes.len()),
         }
@@ -50,8 +50,9 @@
     /// dropped and counted.
     pub async fn listen<F: Future<Output = ()>>(&self, deliver: impl Fn(u16, Vec<u8>) -> F) {
         let mut bytes = vec![0; self.most + 1];
+        let Some(socket) = self.socket.get() else { return };
         loop {
-            match self.socket.recv_from(&mut bytes).await {
+            match socket.recv_from(&mut bytes).await {
                 Ok((n, _)) if n > self.most => self.pass_over("too long"),
                 Ok((n, from)) => match self.each.iter().position(|a| *a == from) {
                     None => self.pass_over("from a stranger"),
@@ -89,8 +90,11 @@
         let (peer, stranger) = (bind(), bind());
         let limits = Limits::for_sockets(64);
         let each = vec![peer.local_addr().unwrap()];
-        let own = Peers::open(([127, 0, 0, 1], 0).into(), each, None, &limits).unwrap();
-        let at = own.socket.get_ref().local_addr().unwrap();
+        let own = Peers::new(each, None, &limits);
+        async_io::block_on(own.tell(Some(0), b"from nowhere"));
+        own.open(([127, 0, 0, 1], 0).into()).unwrap();
+        let at = own.socket.get().unwrap().get_ref().local_addr().unwrap();
+        assert!(Peers::new(Vec::new(), None, &limits).open(at).is_err(), "it is taken");
         async_io::block_on(async {
             own.tell(Some(0), &[7; 257]).await;
             own.tell(None, b"nobody").await;
--- a/src/net/pg/front.rs
+++ b/src/net/pg/front.rs
@@ -7,6 +7,7 @@
 use crate::core::classes::Classes;
 use crate::core::{Final, Handle, Input};
 use crate::interface::*;
+use crate::net::duty::{Duty, State as Stands};
 use crate::net::link::{Heard, Link};
 use crate::net::listen::{Place, Welcome};
 use crate::net::{fingerprint, until};
@@ -31,6 +32,8 @@
     pub classes: Classes,
     /// Closed once the first list is there.
     pub ready: Receiver<()>,
+    /// Whether the pooler is at work.
+    pub duty: Rc<Duty>,
     /// Ids of the requests that are open.
     pub open: OpenIds,
 }
@@ -177,7 +180,12 @@
                 Some(Due::Ready) => {
                     let ready = async { while self.front.ready.recv().await.is_ok() {} };
                     until(Instant::now() + self.front.limits.ready, ready).await;
-                    self.answer(&Session::empty()).await?;
+                    // To one that is drained the front layer must bring no one new.
+                    let bytes = match self.front.duty.state() {
+                        Stands::Drained => failure("57P03", "drained: clients are to go elsewhere"),
+                        _ => Session::empty(),
+                    };
+                    self.answer(&bytes).await?;
                 }
                 Some(Due::Last(open)) => {
                     let last = async { Ok(open.reply.recv().await) };
--- a/src/net/pg/host.rs
+++ b/src/net/pg/host.rs
@@ -98,7 +98,7 @@
         if c.stream.write_all(&codec::query(&work.with_wait(trip.left()))).await.is_err() {
             return Exchange::bare(trip.broken());
         }
-        trip.sent.set(true);
+        trip.written();
         let reply = match self.reply(c, Reply::default()).await {
             Ok(reply) => reply,
             Err(Broken::Off) => return Exchange::bare(trip.broken()),
--- a/src/net/sparql/front.rs
+++ b/src/net/sparql/front.rs
@@ -8,6 +8,7 @@
 use crate::core::{Final, Handle, Input};
 use crate::interface::*;
 use crate::net::buffer::Buffer;
+use crate::net::duty::{Duty, State};
 use crate::net::http::server::{self, Next, Request};
 use crate::net::link::Link;
 use crate::net::listen::{Place, Welcome};
@@ -46,6 +47,8 @@
     pub service: Service,
     /// Closed once the first list is there.
     pub ready: Receiver<()>,
+    /// Whether the pooler is at work.
+    pub duty: Rc<Duty>,
 }
 
 /// What becomes of a connection after an answer.
@@ -100,8 +103,11 @@
         let (path, _) = request.target();
         let ends = !request.keeps_open() || link.ends();
         if path == "/-/ready" {
-            let ready = self.ready.is_closed();
-            let (status, text) = if ready { (200, "ready") } else { (503, "no list of hosts yet") };
+            let (status, text) = match self.ready.is_closed() {
+                _ if self.duty.state() == State::Drained => (503, "drained"),
+                true => (200, "ready"),
+                false => (503, "no list of hosts yet"),
+            };
             return reply(link, ends, server::answer(status, &[], text)).await;
         }
         if path != self.service.path {
--- a/src/net/sparql/host.rs
+++ b/src/net/sparql/host.rs
@@ -116,7 +116,7 @@
             Need::Since(at) => Some(at),
         };
         c.send(&operation.request(c.address(), &self.path, trip.left(), since)).await?;
-        trip.sent.set(true);
+        trip.written();
         let head = c.head(&self.limits).await?;
         let status = head.line[1].parse().unwrap_or(0);
         let (mark, report) = (mark(&head), report(&head, &self.report_fields));
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -48,8 +48,12 @@
 impl Daemon {
     pub fn start(words: &[&str], variables: &[(&str, &str)]) -> Daemon {
         let mut command = Command::new(env!("CARGO_BIN_EXE_brookpass"));
-        command.args(words).env_remove("GW_CONFIG").envs(variables.iter().copied()).stderr(Stdio::piped());
-        let mut child = command.spawn().unwrap();
+        command.args(words).env_remove("GW_CONFIG").envs(variables.iter().copied());
+        Daemon::run(command)
+    }
+
+    pub fn run(mut command: Command) -> Daemon {
+        let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let errors = BufReader::new(child.stderr.take().unwrap());
         let (send, lines) = channel();
         thread::spawn(move || errors.lines().map_while(Result::ok).try_for_each(|l| send.send(l)));
@@ -367,6 +371,10 @@
     RowThenEnd(&'static [u8]),
     /// Exactly these bytes; the connection stays open.
     Raw(Vec<u8>),
+    /// Exactly these bytes, then nothing until the other side closes.
+    RawThenSilence(Vec<u8>),
+    /// Exactly these bytes, then the end.
+    RawThenEnd(Vec<u8>),
     /// Answers once this is told.
     After(Arc<Mutex<Receiver<()>>>, &'static [u8]),
 }
@@ -435,8 +443,20 @@
                 stream.write_all(&bytes).ok()?;
                 continue;
             }
+            Reply::RawThenEnd(bytes) => {
+                stream.write_all(&bytes).ok()?;
+                stream.shutdown(std::net::Shutdown::Both).ok()?;
+                let _ = gone.lock().unwrap().send(true);
+                return None;
+            }
             Reply::Error(code) => pg_message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes()),
             Reply::Break => return None,
+            Reply::RawThenSilence(bytes) => {
+                stream.write_all(&bytes).ok()?;
+                let ended = !matches!(stream.read(&mut [0]), Ok(n) if n > 0);
+                let _ = gone.lock().unwrap().send(ended);
+                return None;
+            }
             Reply::Silence => {
                 let ended = !matches!(stream.read(&mut [0]), Ok(n) if n > 0);
                 let _ = gone.lock().unwrap().send(ended);
