Open the operators' door beside the SPARQL front too

The core counts for both fronts and duty is one state for both, but an operator's file had no address to name. The key admin opens the same door there; without it there is none. Both daemons open it by one function. Rejected: more calls on the store's listener, which peers use as well. The test drains and brings back the SPARQL front over sockets.

--- a/src/daemon/file.rs
+++ b/src/daemon/file.rs
@@ -23,6 +23,8 @@
     pub number: u16,
     /// Where HTTP clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if there is a door for them.
+    pub admin: Option<SocketAddr>,
     /// Where hosts answer operations.
     pub host_path: String,
     /// The SPARQL front.
@@ -213,7 +215,7 @@
 
 fn parse(path: &Path, text: &str, changed: Micros, limits: &Limits) -> Result<Operator, Fault> {
     let tree = yaml::parse(text, limits)?;
-    let keys = ["name", "number", "sparql", "store", "inventory", "zones", "sockets", "settings"];
+    let keys = ["name", "number", "sparql", "admin", "store", "inventory", "zones", "sockets", "settings"];
     let top = section(&tree, &keys, "the operator's file")?;
     let front = section(
         need(top, "sparql", "the operator's file")?,
@@ -247,6 +249,7 @@
         name,
         number: optional(top, "number", |n| n.parsed("number"))?.unwrap_or(0),
         listen: loopback(need(front, "listen", "sparql")?, "listen")?,
+        admin: optional(top, "admin", |n| loopback(n, "admin"))?,
         host_path: endpoint("host_path")?,
         service: Service {
             path: endpoint("path")?,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 
 use crate::config::Limits;
 use crate::core::{Command, Control, Handle};
+use crate::net::door::Door;
 use crate::net::duty::Duty;
 use crate::net::hosts::{Hosts, Wire};
 use crate::net::listen::{self, Place, Seats, Welcome};
@@ -15,7 +16,7 @@
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, future};
 use std::io;
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -80,6 +81,28 @@
     })
 }
 
+/// Opens the operators' door.
+pub fn open_door<W: Send + 'static, A: Send + 'static>(
+    executor: &Executor,
+    at: SocketAddr,
+    name: &str,
+    limits: &Limits,
+    handle: &Handle<W, A>,
+    duty: &Rc<Duty>,
+    ready: &Receiver<()>,
+) -> Result<(), String> {
+    let listener = listen::open(at).map_err(|e| format!("the operators' address {at}: {e}"))?;
+    log::info!("{name}: operators at http://{}", listener.get_ref().local_addr().unwrap_or(at));
+    let door = Rc::new(Door::new(limits, handle.clone(), duty.clone(), ready.clone()));
+    let seats = Seats::new(door.limits().clone(), Rc::default());
+    let serving = accept(executor, listener, &seats, move |stream, place, welcome| {
+        let door = door.clone();
+        async move { door.serve(stream, place, welcome).await }
+    });
+    serving.detach();
+    Ok(())
+}
+
 /// To whom a pooler that ends leaves its clients.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Leave {
--- a/src/daemon/operator.rs
+++ b/src/daemon/operator.rs
@@ -1,9 +1,9 @@
 //! With an operator's file: the SPARQL front, with a store of its own that keeps configuration and state.
 
 use super::file::{self, Operator};
-use super::{Executor, Leave, accept, carry, signal, signalled, until_drained};
+use super::{Executor, Leave, accept, carry, open_door, signal, signalled, until_drained};
 use crate::clock::Clock;
-use crate::config::Limits;
+use crate::config::{Limits, Machine};
 use crate::core::classes::Classes;
 use crate::core::{self, Control, Handle};
 use crate::net::duty::Duty;
@@ -112,7 +112,8 @@
     // First of all: without a handler this signal would end the program, which may wait for a peer below.
     let hangup = signal(signal_hook::consts::SIGHUP)?;
     let clock = Clock::start();
-    let mut limits = Limits::for_sockets(operator.sockets);
+    let machine = Machine::operator(operator.sockets);
+    let mut limits = Limits::on(if operator.admin.is_some() { machine.with_door() } else { machine });
     let mut files = Files { settings: operator.settings.clone().map(|s| (s, operator.changed)), hosts: None };
     if let Some(path) = &operator.inventory {
         files.hosts = Some(file::inventory(path, &operator.zones, &limits)?);
@@ -204,6 +205,9 @@
     let service = operator.service.clone();
     let ending = handle.clone();
     let duty = Rc::new(Duty::default());
+    if let Some(at) = operator.admin {
+        open_door(&executor, at, &operator.name, &limits, &handle, &duty, &ready)?;
+    }
     let front =
         Rc::new(Front { limits: limits.clone(), handle, classes, service, ready, duty: duty.clone() });
     let seats = Seats::new(limits.clone(), duty.clone());
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -1,13 +1,12 @@
 //! On the platform: the PostgreSQL front, with what `GW_CONFIG` names. The SPARQL front is off here.
 
-use super::{Executor, Leave, accept, carry, signal, signalled, until_drained};
+use super::{Executor, Leave, accept, carry, open_door, signal, signalled, until_drained};
 use crate::clock::Clock;
 use crate::config::{Limits, Machine};
 use crate::core::classes::Classes;
 use crate::core::members::Listing;
 use crate::core::{self, Command, Control, Input};
 use crate::json::{self, Platform};
-use crate::net::door::Door;
 use crate::net::duty::Duty;
 use crate::net::hosts::Hosts;
 use crate::net::peers::Peers;
@@ -140,16 +139,7 @@
     }
     let duty = Rc::new(Duty::default());
     if let Some(at) = platform.admin {
-        let listener = listen::open(at).map_err(|e| format!("admin_addr {at}: {e}"))?;
-        let at = listener.get_ref().local_addr().unwrap_or(at);
-        log::info!("{}: operators at http://{at}", platform.name);
-        let door = Rc::new(Door::new(&limits, handle.clone(), duty.clone(), ready.clone()));
-        let seats = listen::Seats::new(door.limits().clone(), Rc::default());
-        let serving = accept(&executor, listener, &seats, move |stream, place, welcome| {
-            let door = door.clone();
-            async move { door.serve(stream, place, welcome).await }
-        });
-        serving.detach();
+        open_door(&executor, at, &platform.name, &limits, &handle, &duty, &ready)?;
     }
     {
         let (limits, handle) = (limits.clone(), handle.clone());
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -371,12 +371,21 @@
     #[test]
     fn the_limits_add_up_to_what_the_process_may_hold() {
         for sockets in [64, 256, 384, 1024, 20_000] {
-            for machine in [Machine::operator(sockets), Machine::platform(Some(sockets), Some(32.0))] {
+            let platform = Machine::platform(Some(sockets), Some(32.0));
+            let half = platform.half().with_door();
+            for machine in [Machine::operator(sockets), platform, platform.with_door(), half] {
                 let l = Limits::on(machine);
-                assert!(l.clients + l.turned_away + l.hosts + machine.reserved <= sockets, "{machine:?}");
+                let (door, sockets) = (l.for_door(), machine.sockets);
+                if machine.reserved + 16 <= sockets {
+                    assert!(l.clients + l.turned_away + l.hosts + machine.reserved <= sockets, "{machine:?}");
+                }
                 assert!(l.clients > 0 && l.turned_away > 0 && l.hosts > 0, "{machine:?}");
+                assert_eq!(door.clients > 0, machine.door, "{machine:?}");
+                assert!(
+                    platform.reserved + door.clients + door.turned_away < machine.reserved || !machine.door
+                );
                 // Clients hold at most a third for requests, and each of these may have an attempt out.
-                let third = (sockets - machine.reserved) / 3;
+                let third = sockets.saturating_sub(machine.reserved) / 3;
                 assert!(l.clients >= third && l.hosts >= third, "{machine:?}");
                 assert!(l.held * 5 <= (machine.memory_mb * 1024.0 * 1024.0) as usize, "{machine:?}");
             }
--- a/tests/sparql.rs
+++ b/tests/sparql.rs
@@ -129,6 +129,7 @@
     let text = include_str!("../deploy/operator.yaml")
         .replace("127.0.0.1:8890", "127.0.0.1:0")
         .replace("127.0.0.1:8891", "127.0.0.1:0")
+        .replace("127.0.0.1:8892", "127.0.0.1:0")
         .replace("name: b1", &format!("name: {name}"))
         .replace("peers: []", &format!("peers: [{peers}]"))
         .replace("inventory: inventory.yaml", "inventory: hosts.csv");
@@ -166,6 +167,32 @@
     answer.text().parse::<i64>().unwrap() < sent_at - allowed
 }
 
+/// Guards against a SPARQL front that operators cannot watch, take out and bring back as they do on the platform.
+#[test]
+fn the_operators_door_counts_drains_and_brings_back_the_sparql_front() {
+    let primary = Host::plain(true, 0);
+    let mut running = start(&files("door", &[("p", primary.address)], &[]));
+    let door = running.daemon.seen.iter().find_map(|l| l.split("operators at http://").nth(1)?.parse().ok());
+    let door: SocketAddr = door.unwrap_or_else(|| running.daemon.address("operators at http://"));
+    let call_door = |method: &str, path: &str| call(door, &format!("{method} {path} HTTP/1.1\r\n\r\n"));
+    let mut client = HttpClient::connect(running.front);
+    assert_eq!(client.call(&query("")).status(), 200);
+    assert_eq!(client.call(&update("Brookpass-Key: 7\r\n")).status(), 200);
+    let told = call_door("GET", "/v1/metrics").text();
+    for line in ["svc.success.catalog-read:1|c", "svc.success.score-write:1|c", "svc.error.own-edit-read:0|c"]
+    {
+        assert!(told.lines().any(|l| l == line), "{line} in {told}");
+    }
+    assert!(told.contains("svc.dispatches:2|c") && told.contains("svc.targets:1|g"), "{told}");
+    assert_eq!(call_door("PUT", "/v1/pooler/drain").status(), 200);
+    assert_eq!(client.call(&query("")).status(), 200, "what is taken is answered");
+    assert_eq!(call(running.front, "GET /-/ready HTTP/1.1\r\n\r\n").status(), 503);
+    assert!(read_http(&mut client.reader).is_none(), "then its connection ends");
+    assert_eq!(call_door("PUT", "/v1/pooler/activate").status(), 200);
+    assert_eq!(call(running.front, "GET /-/ready HTTP/1.1\r\n\r\n").status(), 200);
+    assert_eq!(call(running.front, &query("")).status(), 200);
+}
+
 /// The operators' hard case. Replicas lag past 800 ms while reads go on, and answer from what they have.
 #[test]
 fn no_read_is_stale_while_replicas_lag_on_purpose() {
