Spread calls to an overbooked discovery at random over the whole tier

A call that fails does so after 2 ms or after 2,000 ms in the queue; the few that succeed when calls are rare are 180 ms apart. So: too many calls for the queue keep all of them waiting in vain. Ruled out: the watch's length, our own time-out alone, the list's form. At fault: src/net/discovery.rs, the pause without chance that doubles from 50 ms to 1 s for every kind of failure.

Now each pause is drawn at random; after a 503 or 429 from 0.2 s for each pooler of the tier (what a call was seen to take there), 30 s at most (must-ask-in is 10 s, four times that after a failed call). The whole list may take 2.5 s. The test fails where a tier comes back together.

--- a/src/config.rs
+++ b/src/config.rs
@@ -65,6 +65,10 @@
     pub watch: Duration,
     /// How long discovery may take beyond that.
     pub discovery: Duration,
+    /// How long discovery may take for the whole list: it may have calls of others to answer first.
+    pub first_list: Duration,
+    /// Calls that discovery had no room for are spread over so long.
+    pub overbooked: Duration,
     /// First and longest pause after a failed call to discovery.
     pub pause: (Duration, Duration),
     /// The answer goes out this long before the client stops waiting.
@@ -148,6 +152,10 @@
 const MEMORY_MB: f64 = 192.0;
 /// Connections of operators at once: some say nothing for seconds.
 const DOOR: usize = 16;
+/// What an overbooked discovery was seen to take for a call. One without a subscription must ask again within
+/// four times 10 s of a call that failed.
+const CALL: Duration = Duration::from_millis(200);
+const ASK_AGAIN: Duration = Duration::from_secs(30);
 /// A pooler that is alone takes nothing new for so long before its end.
 const LAST_CALL: Duration = Duration::from_millis(250);
 /// The longest value.
@@ -199,6 +207,8 @@
             // A watch that fell silent must be noticed before what it has to tell counts as told all the same.
             watch: Duration::from_secs(2),
             discovery: Duration::from_secs(1),
+            first_list: Duration::from_millis(2_500),
+            overbooked: CALL,
             pause: (Duration::from_millis(50), Duration::from_secs(1)),
             margin: Duration::from_millis(4),
             linger: (Duration::from_millis(500), 1024 * 1024),
@@ -238,6 +248,10 @@
         self.crowded = (most * 5 / 8).clamp(1, self.clients);
         self.client_idle = Duration::from_secs(2);
     }
+    /// So many poolers share discovery.
+    pub fn tier(&mut self, poolers: Option<u32>) {
+        self.overbooked = (CALL * poolers.unwrap_or(1).clamp(1, 10_000)).min(ASK_AGAIN);
+    }
     /// How long after SIGTERM connections are taken and idle ones kept, and when the program ends, where no
     /// client has given a request longer than `patience`. One that is `alone` has nobody to leave its clients
     /// to: it serves those that it has for as long as what they ask can still be answered.
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -41,6 +41,7 @@
     let machine = if platform.passed.is_some() { machine.half() } else { machine };
     let mut limits = Limits::on(if platform.admin.is_some() { machine.with_door() } else { machine });
     limits.clients_hold(platform.sockets.unwrap_or(1024) / 3);
+    limits.tier(platform.settings.drivers);
     limits.hosts_idle_for(platform.conn_idle);
     if let Some(connect) = platform.settings.connect_timeout {
         limits.connect = Duration::from_micros(connect.max(1) as u64);
@@ -143,7 +144,7 @@
     }
     {
         let (limits, handle) = (limits.clone(), handle.clone());
-        let zones = platform.zones;
+        let (zones, seed) = (platform.zones, platform.seed);
         let task = async move {
             let deliver = |list: Listing| {
                 let (handle, listed, store) = (&handle, &listed, &store);
@@ -154,7 +155,7 @@
                     listed.close();
                 }
             };
-            watcher::watch(&discovery, &zones, &limits, &asked, deliver).await;
+            watcher::watch(&discovery, &zones, &limits, seed, &asked, deliver).await;
         };
         executor.spawn(task).detach();
     }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -6,6 +6,7 @@
 use crate::core::members::Listing;
 use crate::json;
 use async_channel::Receiver;
+use fastrand::Rng;
 use futures_lite::future;
 use std::cell::Cell;
 use std::future::Future;
@@ -17,6 +18,33 @@
     io::Error::new(io::ErrorKind::InvalidData, text.into())
 }
 
+/// When to call again after a call that failed. Poolers start, fail and come back together: each chooses its own
+/// moment, or discovery would get all calls at once again.
+struct Pace<'a> {
+    rng: Rng,
+    limits: &'a Limits,
+    pause: Duration,
+}
+
+impl<'a> Pace<'a> {
+    fn new(limits: &'a Limits, seed: u64) -> Pace<'a> {
+        Pace { rng: Rng::with_seed(seed), limits, pause: limits.pause.0 }
+    }
+
+    fn succeeded(&mut self) {
+        self.pause = self.limits.pause.0;
+    }
+
+    fn failed(&mut self, e: &io::Error) -> Duration {
+        let pause = self.pause.mul_f64(0.5 + self.rng.f64());
+        self.pause = (self.pause * 2).min(self.limits.pause.1);
+        // It has no room for a call: what waits there is what keeps the others out, so that the poolers of a
+        // tier together must call less often than it answers.
+        let busy = e.kind() == io::ErrorKind::ResourceBusy;
+        if busy { pause.max(self.limits.overbooked.mul_f64(self.rng.f64())) } else { pause }
+    }
+}
+
 async fn call(
     kept: &mut Option<Client>,
     address: SocketAddr,
@@ -33,7 +61,9 @@
         let (head, body, keeps) = client.call(request.as_bytes(), limits).await?;
         *kept = keeps.then_some(client);
         if head.line[1] != "200" {
-            return Err(bad(format!("status {}", head.line[1])));
+            let busy = matches!(head.line[1].as_str(), "429" | "503");
+            let kind = if busy { io::ErrorKind::ResourceBusy } else { io::ErrorKind::InvalidData };
+            return Err(io::Error::new(kind, format!("status {}", head.line[1])));
         }
         String::from_utf8(body).map_err(|_| bad("the list is not UTF-8"))
     };
@@ -47,6 +77,7 @@
     address: &Cell<SocketAddr>,
     zones: &[String],
     limits: &Limits,
+    seed: u64,
     fetch: &Receiver<()>,
     deliver: impl Fn(Listing) -> F,
 ) {
@@ -56,10 +87,10 @@
     };
     let mut kept = None;
     let mut index = None;
-    let mut pause = limits.pause.0;
+    let mut pace = Pace::new(limits, seed);
     loop {
         let (path, time) = match index {
-            None => ("/api/targets".to_string(), limits.discovery),
+            None => ("/api/targets".to_string(), limits.first_list),
             Some(after) => {
                 let wait = limits.watch.as_millis();
                 (format!("/api/targets?after={after}&wait_ms={wait}"), limits.watch + limits.discovery)
@@ -74,7 +105,7 @@
         // A list that is out of form must not cost the one that is held: it stays, and the call is repeated.
         match answer.and_then(|text| json::list(&text, zones).map_err(bad)) {
             Ok(list) => {
-                pause = limits.pause.0;
+                pace.succeeded();
                 let changed = !list.entries.is_empty() || list.whole;
                 index = Some(list.index);
                 if changed {
@@ -84,11 +115,49 @@
             Err(e) => {
                 log::warn!("discovery: {e}; the last list stays");
                 kept = None;
-                if until(Instant::now() + pause, asked()).await.is_some() {
+                if until(Instant::now() + pace.failed(&e), asked()).await.is_some() {
                     index = None;
                 }
-                pause = (pause * 2).min(limits.pause.1);
             }
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against poolers of a tier that come back together to a discovery that has no room for them, and so
+    /// keep it that way.
+    #[test]
+    fn a_tier_that_was_refused_together_spreads_its_calls() {
+        let mut limits = Limits::for_sockets(64);
+        let busy = io::Error::from(io::ErrorKind::ResourceBusy);
+        let calls = |limits: &Limits, e: &io::Error| -> Vec<Duration> {
+            (0..100).map(|seed| Pace::new(limits, seed * 7919).failed(e)).collect()
+        };
+        limits.tier(Some(100));
+        let mut at = calls(&limits, &busy);
+        at.sort();
+        let most =
+            at.iter().map(|a| at.iter().filter(|b| **b >= *a && **b < *a + Duration::from_secs(1)).count());
+        assert!(most.max().unwrap() <= 14, "{at:?}");
+        let mean = at.iter().sum::<Duration>() / 100;
+        assert!((8..12).contains(&mean.as_secs()), "{mean:?}");
+        // One that is silent or noisy is called again soon, but not by all in the same moment.
+        let silent = io::Error::from(io::ErrorKind::TimedOut);
+        let mut soon = calls(&limits, &silent);
+        soon.sort();
+        assert!(soon[99] < Duration::from_millis(100) && soon[99] > soon[0] + Duration::from_millis(20));
+        limits.tier(Some(1));
+        assert!(
+            calls(&limits, &busy).iter().max().unwrap() <= &Duration::from_millis(200),
+            "nobody else calls"
+        );
+        limits.tier(Some(60_000));
+        assert!(
+            limits.overbooked <= Duration::from_secs(30),
+            "within the time in which it must be asked again"
+        );
+    }
+}
