--- a/src/store/agreed.rs
+++ b/src/store/agreed.rs
@@ -121,8 +121,8 @@
     pub members: BTreeMap<NodeId, Member>,
     /// Daemons that were removed, with their names.
     pub removed: BTreeMap<NodeId, String>,
-    /// Daemons that founded the fleet with the first one and are still to come in.
-    pub founders: BTreeSet<NodeId>,
+    /// Names of daemons that founded the fleet with the first one and are still to come in.
+    pub founders: BTreeSet<String>,
     /// The settings of the service.
     pub settings: Option<(Source, String)>,
     /// Where the inventory comes from; `None` before the first one.
@@ -152,7 +152,7 @@
 
 impl State {
     /// A new fleet of one, which waits for the other founders.
-    pub fn found(fleet: FleetId, id: NodeId, member: Member, founders: BTreeSet<NodeId>) -> State {
+    pub fn found(fleet: FleetId, id: NodeId, member: Member, founders: BTreeSet<String>) -> State {
         let members = BTreeMap::from([(id, member)]);
         State { fleet, members, founders, ..State::default() }
     }
@@ -228,21 +228,25 @@
 
     /// Takes in a change of the membership. The consensus has the last word on who votes.
     pub fn apply_members(&mut self, change: &Membership) {
+        if let Some((id, member)) = &change.comes {
+            self.members.insert(*id, member.clone());
+        }
         for step in &change.steps {
             match step {
                 Step::Remove(id) => {
                     if let Some(member) = self.members.remove(id) {
+                        self.founders.remove(&member.name);
                         self.removed.insert(*id, member.name);
                     }
-                    self.founders.remove(id);
                 }
-                Step::Vote(id) => drop(self.founders.remove(id)),
+                Step::Vote(id) => {
+                    if let Some(member) = self.members.get(id) {
+                        self.founders.remove(&member.name);
+                    }
+                }
                 Step::Follow(_) => {}
             }
         }
-        if let Some((id, member)) = &change.comes {
-            self.members.insert(*id, member.clone());
-        }
         while self.removed.len() > REMEMBERED {
             self.removed.pop_first();
         }
@@ -415,14 +419,15 @@
     #[test]
     fn a_fleet_is_complete_when_its_founders_vote_or_are_gone() {
         let member = |n: u16| Member { name: format!("b{n}"), address: ([127, 0, 0, 1], n).into() };
-        let mut s = State::found(7, 1, member(1), BTreeSet::from([2, 3]));
+        let mut s = State::found(7, 1, member(1), ["b2", "b3"].map(String::from).into());
         s.apply_members(&Membership { steps: vec![Step::Follow(2)], comes: Some((2, member(2))) });
         assert!(!s.is_complete() && s.members.len() == 2);
         s.apply_members(&Membership { steps: vec![Step::Vote(2)], comes: None });
+        s.apply_members(&Membership { steps: vec![Step::Follow(3)], comes: Some((3, member(3))) });
         s.apply_members(&Membership { steps: vec![Step::Remove(3)], comes: None });
         assert!(s.is_complete());
         s.apply_members(&Membership { steps: vec![Step::Remove(2)], comes: None });
-        assert_eq!(s.removed, BTreeMap::from([(2, "b2".to_string())]));
+        assert_eq!(s.removed, BTreeMap::from([(2, "b2".to_string()), (3, "b3".to_string())]));
     }
 
     #[test]
--- /dev/null
+++ b/src/store/legacy.rs
@@ -0,0 +1,155 @@
+//! The store file of the form before the fleet agreed on anything: read once and taken over.
+
+use super::agreed::Change;
+use super::form::HostRecord;
+use crate::interface::Micros;
+
+/// Its first line.
+pub const FORM: &str = "brookpass-store 1";
+
+/// What such a file said.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Legacy {
+    /// The inventory's hosts.
+    pub hosts: Vec<(String, HostRecord)>,
+    /// When the inventory was last changed.
+    pub hosts_changed: Micros,
+    /// Hosts that were drained.
+    pub drains: Vec<String>,
+    /// The settings, and when they were last changed.
+    pub settings: Option<(String, Micros)>,
+}
+
+impl Legacy {
+    /// The changes by which a fleet without any state takes it over. Drains are said anew.
+    pub fn changes(&self, by: &str) -> Vec<Change> {
+        let settings = self.settings.iter().map(|(text, changed)| Change::Settings {
+            by: by.to_string(),
+            changed: *changed,
+            text: text.clone(),
+        });
+        let hosts = (!self.hosts.is_empty()).then(|| Change::Inventory {
+            by: by.to_string(),
+            changed: self.hosts_changed,
+            base: 0,
+            set: self.hosts.clone(),
+            gone: Vec::new(),
+        });
+        settings.chain(hosts).collect()
+    }
+}
+
+fn unescape(text: &str) -> Option<String> {
+    let (mut out, mut chars) = (String::new(), text.chars());
+    while let Some(c) = chars.next() {
+        out.push(match c {
+            '\\' => match chars.next()? {
+                '\\' => '\\',
+                't' => '\t',
+                'n' => '\n',
+                'r' => '\r',
+                _ => return None,
+            },
+            c => c,
+        });
+    }
+    Some(out)
+}
+
+fn host(line: &str) -> Option<HostRecord> {
+    let parts: Vec<&str> = line.split(' ').collect();
+    let &[address, group, zone, weight, status, since] = &parts[..] else { return None };
+    let since: Micros = since.parse().ok()?;
+    Some(HostRecord {
+        address: address.parse().ok()?,
+        group: group.parse().ok()?,
+        zone: zone.parse().ok()?,
+        weight: weight.parse().ok()?,
+        leaving: status != "active",
+        started_at: (since > 0).then(|| since.saturating_mul(1000)),
+    })
+}
+
+/// Reads such a file; errors name the line.
+pub fn parse(text: &str) -> Result<Legacy, String> {
+    let mut found = Legacy::default();
+    let mut settings = None;
+    let mut settings_changed = 0;
+    let mut ended = false;
+    for (n, line) in text.lines().enumerate() {
+        let fault = |what: &str| format!("line {}: {what}", n + 1);
+        if n == 0 {
+            if line != FORM {
+                return Err(fault("not a store of this form"));
+            }
+            continue;
+        }
+        if ended {
+            return Err(fault("something after the end"));
+        }
+        if line == "end" {
+            ended = true;
+            continue;
+        }
+        let fields: Vec<&str> = line.split('\t').collect();
+        let &[_, _, key, value] = &fields[..] else { return Err(fault("a record has four fields")) };
+        let key = unescape(key).ok_or_else(|| fault("a broken escape"))?;
+        let value = match value.split_at_checked(1) {
+            Some(("+", v)) => unescape(v).ok_or_else(|| fault("a broken escape"))?,
+            Some(("-", "")) => continue,
+            _ => return Err(fault("neither a value nor a removal")),
+        };
+        let time = || value.parse().map_err(|_| fault("no such time"));
+        if let Some(name) = key.strip_prefix("host/") {
+            found.hosts.push((name.to_string(), host(&value).ok_or_else(|| fault("no such host"))?));
+        } else if let Some(name) = key.strip_prefix("drain/") {
+            found.drains.push(name.to_string());
+        } else {
+            match key.as_str() {
+                "inventory/changed" => found.hosts_changed = time()?,
+                "config/changed" => settings_changed = time()?,
+                "config/settings" => settings = Some(value),
+                _ => {}
+            }
+        }
+    }
+    if !ended {
+        return Err(format!("line {}: the file is cut short", text.lines().count() + 1));
+    }
+    found.settings = settings.map(|text| (text, settings_changed));
+    Ok(found)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const OLD: &str = "brookpass-store 1\n3\ta.1\tconfig/changed\t+7\n2\ta.1\tconfig/settings\t+x=1\\ny=2\\n\n\
+                       5\ta.1\tdrain/s-1\t+1\n6\ta.1\tdrain/s-2\t-\n1\ta.1\thost/s-1\t+127.0.0.1:7001 1 0 0.5 active 12\n\
+                       4\ta.1\tinventory/changed\t+9\npending\t\tdrain/s-3\t+1\nend\n";
+
+    #[test]
+    fn a_file_of_the_old_form_is_read_whole() {
+        let old = parse(OLD).unwrap();
+        assert_eq!(old.drains, ["s-1", "s-3"], "also one that had no stamp yet");
+        assert_eq!(old.settings, Some(("x=1\ny=2\n".to_string(), 7)));
+        assert_eq!((old.hosts_changed, old.hosts.len()), (9, 1));
+        assert_eq!((old.hosts[0].1.started_at, old.hosts[0].1.weight), (Some(12_000), 0.5));
+        assert_eq!(old.changes("b1").len(), 2);
+    }
+
+    /// Guards against a file that is taken in by half.
+    #[test]
+    fn one_that_is_cut_short_or_changed_is_refused_with_its_line() {
+        for (text, why) in [
+            (OLD.replace("end\n", ""), "line 9: the file is cut short"),
+            (OLD.replace("\t+7", "\t+x"), "line 2: no such time"),
+            (OLD.replace("active 12", "active"), "line 6: no such host"),
+            (OLD.replace("\\n\n", "\\q\n"), "line 3: a broken escape"),
+            (OLD.replace("end\n", "end\nmore\n"), "line 10: something after"),
+        ] {
+            let error = parse(&text).unwrap_err();
+            assert!(error.starts_with(why), "{error}");
+        }
+    }
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,7 +5,9 @@
 //! host's role or position: those count only from the host's own answers.
 
 pub mod agreed;
+pub mod disk;
 pub mod form;
+pub mod legacy;
 pub mod replica;
 pub mod snapshot;
 pub mod sync;
--- a/src/store/replica.rs
+++ b/src/store/replica.rs
@@ -207,15 +207,28 @@
     }
 }
 
-/// A change that was agreed and taken in.
+/// What was agreed at a place of the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum What {
+    /// A change, with whose it was.
+    Change(Proposal),
+    /// A change of the membership.
+    Members(Membership),
+    /// All that was agreed up to here.
+    State(Box<State>),
+    /// Nothing, as when a leader begins.
+    Nothing,
+}
+
+/// Something that was agreed and taken in.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Applied {
     /// Its place in the log.
     pub index: u64,
     /// The check sum over all that was agreed up to it.
     pub digest: u32,
-    /// The change, with whose it was; `None`: one of the membership, or a whole state.
-    pub proposal: Option<Proposal>,
+    /// What it is.
+    pub what: What,
     /// What became of it.
     pub effect: Effect,
 }
@@ -450,9 +463,10 @@
         if let Some(record) = &write.snapshot
             && let Some(state) = form::read::<State>(&record.state)
         {
+            let (index, digest) = (record.index, state.digest);
+            let what = What::State(Box::new(state.clone()));
             log.restore(record, state);
-            let (index, digest) = (record.index, log.state.digest);
-            applied.push(Applied { index, digest, proposal: None, effect: Effect::Done });
+            applied.push(Applied { index, digest, what, effect: Effect::Done });
         }
         log.append(ready.entries().clone());
         log.hard = write.hard.unwrap_or(log.hard);
@@ -474,14 +488,14 @@
         for entry in entries {
             let (index, term) = (entry.index, entry.term);
             let entry = LogEntry::of(entry);
-            let mut proposal = None;
+            let mut what = What::Nothing;
             let mut effect = Effect::Done;
             if entry.kind == 0 {
-                proposal = form::read::<Proposal>(&entry.bytes);
-                effect = match &proposal {
-                    Some(p) => self.node.mut_store().state.apply(index, &p.change),
-                    None => Effect::Refused,
-                };
+                // One that cannot be read, as a newer program may write it, changes nothing anywhere.
+                if let Some(proposal) = form::read::<Proposal>(&entry.bytes) {
+                    effect = self.node.mut_store().state.apply(index, &proposal.change);
+                    what = What::Change(proposal);
+                }
             } else {
                 let change: Membership = form::read(&entry.bytes).unwrap_or_default();
                 let mut cc = ConfChangeV2::default();
@@ -491,6 +505,7 @@
                         let log = self.node.mut_store();
                         log.conf = Conf::of(&conf);
                         log.state.apply_members(&change);
+                        what = What::Members(change);
                     }
                     Err(_) => effect = Effect::Refused,
                 }
@@ -501,7 +516,7 @@
             sum.update(&index.to_be_bytes());
             sum.update(&entry.bytes);
             log.state.digest = sum.finalize();
-            applied.push(Applied { index, digest: log.state.digest, proposal, effect });
+            applied.push(Applied { index, digest: log.state.digest, what, effect });
         }
     }
 
--- a/src/store/replica/tests.rs
+++ b/src/store/replica/tests.rs
@@ -90,13 +90,11 @@
                     "no majority has {}",
                     one.index
                 );
-                if let Some(Proposal { change: Change::Drain { host, mark }, from, .. }) = &one.proposal
-                    && *from == id
-                {
-                    self.drained.insert((host.clone(), *mark));
-                }
-                if let Some(Proposal { change: Change::Undrain { marks, .. }, .. }) = one.proposal {
-                    self.undone.extend(marks);
+                let What::Change(Proposal { change, from, .. }) = one.what else { continue };
+                match change {
+                    Change::Drain { host, mark } if from == id => drop(self.drained.insert((host, mark))),
+                    Change::Undrain { marks, .. } => self.undone.extend(marks),
+                    _ => {}
                 }
             }
         }
