--- a/src/core/members.rs
+++ b/src/core/members.rs
@@ -39,6 +39,32 @@
     pub entries: Vec<Listed>,
 }
 
+/// The hosts as discovery last told them, of whole lists and of changes.
+#[derive(Clone, Debug, Default)]
+pub struct Known {
+    hosts: BTreeMap<String, Listed>,
+    version: u64,
+}
+
+impl Known {
+    /// Takes in what discovery tells.
+    pub fn take(&mut self, list: &Listing) {
+        let before = list.whole.then(|| std::mem::take(&mut self.hosts));
+        for e in &list.entries {
+            match e.availability {
+                Availability::Gone => drop(self.hosts.remove(&e.name)),
+                _ => drop(self.hosts.insert(e.name.clone(), e.clone())),
+            }
+        }
+        self.version += u64::from(before.is_none_or(|before| before != self.hosts));
+    }
+
+    /// The whole list.
+    pub fn listing(&self) -> Listing {
+        Listing { index: self.version, whole: true, entries: self.hosts.values().cloned().collect() }
+    }
+}
+
 /// What the host side needs to know of a host.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Host {
@@ -183,6 +209,22 @@
         }
     }
 
+    /// Guards against a change that is lost, or a host that stays, between discovery and the core.
+    #[test]
+    fn discovery_is_taken_in_whole_and_by_changes() {
+        let mut known = Known::default();
+        let (x, y) = (line("x", Availability::Ready), line("y", Availability::Ready));
+        let told = |whole, entries| Listing { index: 1, whole, entries };
+        known.take(&told(true, vec![x.clone(), y.clone()]));
+        let leaving = line("x", Availability::Draining);
+        known.take(&told(false, vec![leaving.clone()]));
+        assert_eq!(known.listing().entries, [leaving.clone(), y]);
+        known.take(&told(false, vec![line("y", Availability::Gone)]));
+        assert_eq!(known.listing().entries, [leaving]);
+        known.take(&told(true, vec![line("z", Availability::Ready), line("x", Availability::Gone)]));
+        assert_eq!(known.listing().entries, [line("z", Availability::Ready)]);
+    }
+
     /// Guards against rings that differ between poolers: the address and the order of arrival must not matter.
     #[test]
     fn an_id_follows_from_the_name_alone() {
--- a/src/daemon/file.rs
+++ b/src/daemon/file.rs
@@ -50,7 +50,9 @@
     pub listen: SocketAddr,
     /// The other daemons' stores.
     pub peers: Vec<SocketAddr>,
-    /// The snapshot file.
+    /// Where the others reach it, if not there.
+    pub advertise: Option<SocketAddr>,
+    /// The file on the disk.
     pub snapshot: Option<PathBuf>,
 }
 
@@ -95,7 +97,7 @@
     ("limits.may-cancel", "true"),
     ("limits.second-copies", "false"),
     ("limits.retry-after", "true"),
-    ("limits.peer-messages", "false"),
+    ("limits.peer-messages", "true"),
     ("family-info.session-marks", "brought"),
     ("family-info.zero", "0"),
     ("report.fields", "x0,x1,util"),
@@ -222,8 +224,11 @@
         &["listen", "path", "host_path", "query", "session", "update", "group"],
         "sparql",
     )?;
-    let store =
-        section(need(top, "store", "the operator's file")?, &["listen", "peers", "snapshot"], "store")?;
+    let store = section(
+        need(top, "store", "the operator's file")?,
+        &["listen", "advertise", "peers", "snapshot"],
+        "store",
+    )?;
     let folder = path.parent().unwrap_or(Path::new("."));
     let file = |n: &Node| n.value("a file").map(|f| folder.join(f));
     let text_of = |n: &Node| n.value("a name").map(str::to_string);
@@ -260,6 +265,7 @@
         },
         store: StoreConfig {
             listen: loopback(need(store, "listen", "store")?, "listen")?,
+            advertise: optional(store, "advertise", |n| loopback(n, "advertise"))?,
             peers,
             snapshot: optional(store, "snapshot", file)?,
         },
--- a/src/daemon/operator.rs
+++ b/src/daemon/operator.rs
@@ -5,7 +5,9 @@
 use crate::clock::Clock;
 use crate::config::{Limits, Machine};
 use crate::core::classes::Classes;
-use crate::core::{self, Control, Handle};
+use crate::core::{self, Command, Control, Handle, Input};
+use crate::fleet::api;
+use crate::fleet::driver::{Files, Fleet, Me};
 use crate::net::duty::Duty;
 use crate::net::hosts::Hosts;
 use crate::net::link::Link;
@@ -13,29 +15,27 @@
 use crate::net::sparql::front::Front;
 use crate::net::sparql::host::Sparql;
 use crate::net::until;
-use crate::store::sync::Shared;
-use crate::store::view::Files;
-use crate::store::{Store, snapshot, view};
-use async_io::{Async, Timer};
+use crate::store::disk::{Disk, Held};
+use crate::store::owner;
+use async_io::Async;
 use std::os::unix::net::UnixStream;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
-fn open_store(operator: &Operator, clock: &Clock) -> Result<Store, String> {
-    // The start is part of the node's name: a restart without disk makes no stamp a second time.
-    let node = format!("{}.{:x}", operator.name, clock.now());
-    let mut store = Store::new(node, operator.store.peers.is_empty());
-    if let Some(path) = operator.store.snapshot.as_ref().filter(|p| p.exists()) {
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-        store.restore(&text).map_err(|e| format!("{}: {e}", path.display()))?;
-    }
-    Ok(store)
+/// Opens the store's file, or one that lasts as long as the process.
+fn open_store(operator: &Operator) -> Result<(Disk, Held), String> {
+    let (disk, held) = match &operator.store.snapshot {
+        Some(path) => Disk::open(path)?,
+        None => Disk::in_memory()?,
+    };
+    held.notes.iter().for_each(|note| log::warn!("{note}"));
+    Ok((disk, held))
 }
 
 /// Reads the inventory whenever its file changes, and on SIGHUP. One that is out of form is refused whole:
 /// what was last good stays.
-async fn reload(mut hangup: Async<UnixStream>, operator: &Operator, shared: &Shared, limits: &Limits) {
+async fn reload(mut hangup: Async<UnixStream>, operator: &Operator, fleet: &Fleet, limits: &Limits) {
     // What was read at the start is read once more: the file may have changed since.
     let mut seen = None;
     loop {
@@ -47,7 +47,7 @@
         }
         seen = now;
         match file::inventory(path, &operator.zones, limits) {
-            Ok(hosts) => shared.read_files(|files| files.hosts = Some(hosts)),
+            Ok(hosts) => fleet.read_files(|files| files.hosts = Some(hosts)),
             Err(e) => log::error!("{e}; the last good inventory stays"),
         }
     }
@@ -59,51 +59,48 @@
     Some((meta.modified().ok()?, meta.len()))
 }
 
-/// Hands each list that the store makes to the core, and says when the settings are no longer those that
-/// run: a module keeps those that it was started with.
+/// Hands each list that is agreed to the core, with what is drained here, and says when the settings are no longer
+/// those that run: a module keeps those that it was started with.
 async fn follow<W, A>(
-    shared: &Shared,
+    fleet: &Fleet,
     handle: &Handle<W, A>,
     ready: async_channel::Sender<()>,
     mut settings: String,
 ) {
-    let mut last = None;
+    let (mut last, mut version) = (None, None);
+    let changed = fleet.watch();
     loop {
-        let newer = shared.read(|s| s.get(view::SETTINGS).filter(|t| *t != settings).map(str::to_string));
-        if let Some(newer) = newer {
-            log::warn!("the store has other settings now; they count from the next start");
+        if let Some(newer) = fleet.settings().filter(|t| *t != settings) {
+            log::warn!("other settings are agreed now; they count from the next start");
             settings = newer;
         }
-        let list = shared.read(view::listing);
-        if last.as_ref() != Some(&list.entries) && !(last.is_none() && list.entries.is_empty()) {
+        let now = Some(fleet.list_version());
+        if std::mem::replace(&mut version, now) != now
+            && let Some(list) = fleet.listing()
+            && last.as_ref() != Some(&list.entries)
+        {
             last = Some(list.entries.clone());
             handle.control(Control::List { list, cached: false }).await;
             ready.close();
         }
-        shared.changed().await;
-    }
-}
-
-/// Waits until the store has caught up, or for as long as a list may be late.
-async fn catch_up(shared: &Shared, limits: &Limits) {
-    let wait = async {
-        while !shared.read(Store::is_caught_up) {
-            shared.changed().await;
-        }
-    };
-    if until(Instant::now() + limits.discovery * 2, wait).await.is_none() {
-        log::warn!("store: no peer answered; local changes hold here and wait for their place in the order");
+        let _ = changed.recv().await;
     }
 }
 
-/// The settings to run with: the store's, once it has some.
-async fn settings(shared: &Shared, limits: &Limits) -> String {
+/// The settings to run with, once some are agreed.
+async fn settings(fleet: &Fleet, limits: &Limits) -> String {
+    let changed = fleet.watch();
+    let began = Instant::now();
+    let mut told = false;
     loop {
-        if let Some(text) = shared.read(|s| s.get(view::SETTINGS).map(str::to_string)) {
+        if let Some(text) = fleet.settings() {
             return text;
         }
-        log::warn!("no settings in the file nor in the store yet; waiting for a peer");
-        Timer::after(limits.period * 4).await;
+        if !told && began.elapsed() > limits.period * 4 {
+            told = true;
+            log::warn!("not ready: no settings are agreed yet; {}", fleet.table().stand.0);
+        }
+        let _ = until(Instant::now() + limits.period, changed.recv()).await;
     }
 }
 
@@ -118,53 +115,44 @@
     if let Some(path) = &operator.inventory {
         files.hosts = Some(file::inventory(path, &operator.zones, &limits)?);
     }
-    let store = open_store(&operator, &clock)?;
+    let (disk, held) = open_store(&operator)?;
     let at = operator.store.listen;
     let store_listener = listen::open(at).map_err(|e| format!("{at}: {e}"))?;
     let at = store_listener.get_ref().local_addr().unwrap_or(at);
     log::info!("{}: store at http://{at}", operator.name);
     let listener = listen::open(operator.listen).map_err(|e| format!("{}: {e}", operator.listen))?;
-    let shared = Rc::new(Shared::new(store, operator.store.peers.clone(), limits.clone(), clock.clone()));
-    shared.read_files(|own| *own = files);
+    let (opened, inputs, outputs) = owner::start(disk, held, &limits)?;
+    let me = Me {
+        name: operator.name.clone(),
+        address: operator.store.advertise.unwrap_or(at),
+        named: operator.store.peers.clone(),
+    };
+    // A connection for each daemon, and some for operators.
+    let few = Rc::new(Limits { clients: limits.members + 16, turned_away: 4, ..limits.clone() });
+    let fleet = Fleet::new(me, few.clone(), clock.clone(), executor.clone(), opened, inputs);
+    fleet.read_files(|own| *own = files);
     let operator = Rc::new(operator);
 
     // The store first: whoever is drained elsewhere must not be sent anything here.
-    let few = Rc::new(Limits { clients: 32, turned_away: 4, ..limits.clone() });
     let store_seats = Seats::new(few.clone(), Rc::default());
     let serving = {
-        let (shared, clock) = (shared.clone(), clock.clone());
+        let (fleet, clock) = (fleet.clone(), clock.clone());
         accept(&executor, store_listener, &store_seats, move |stream, place, welcome| {
-            let (shared, few, clock) = (shared.clone(), few.clone(), clock.clone());
+            let (fleet, few, clock) = (fleet.clone(), few.clone(), clock.clone());
             async move {
                 if welcome == listen::Welcome::Served {
-                    shared.serve(Link::new(stream, place, few, clock)).await;
+                    api::serve(fleet, Link::new(stream, place, few, clock)).await;
                 }
             }
         })
     };
     serving.detach();
-    for number in 0..operator.store.peers.len() {
-        let shared = shared.clone();
-        executor.spawn(async move { shared.exchange(number).await }).detach();
-    }
-    if let Some(path) = &operator.store.snapshot {
-        let writer = snapshot::writer(path.clone()).map_err(|e| format!("{}: {e}", path.display()))?;
-        let (shared, period) = (shared.clone(), limits.period);
-        let task = async move {
-            let mut written = None;
-            loop {
-                let version = shared.read(Store::version);
-                if written != Some(version) {
-                    written = Some(version);
-                    let _ = writer.send(shared.read(Store::snapshot));
-                }
-                Timer::after(period).await;
-            }
-        };
-        executor.spawn(task).detach();
+    {
+        let (hears, goes) = (fleet.clone(), fleet.clone());
+        executor.spawn(async move { hears.hear_store(&outputs).await }).detach();
+        executor.spawn(async move { goes.go_on().await }).detach();
     }
-    catch_up(&shared, &limits).await;
-    let text = settings(&shared, &limits).await;
+    let text = settings(&fleet, &limits).await;
     let (mut settings, names, all) = file::read_settings(&text, operator.number)?;
     let seconds = |key: &str| all.get(key).and_then(|v| v.parse::<f64>().ok());
     limits.hosts_idle_for(seconds("limits.conn-idle"));
@@ -186,20 +174,34 @@
         core::start(settings, &classes, seed, &limits, clock.clone()).map_err(|e| format!("module: {e}"))?;
 
     {
-        let (operator, shared, limits) = (operator.clone(), shared.clone(), limits.clone());
+        let (operator, fleet, limits) = (operator.clone(), fleet.clone(), limits.clone());
         let task = async move {
-            reload(hangup, &operator, &shared, &limits).await;
+            reload(hangup, &operator, &fleet, &limits).await;
         };
         executor.spawn(task).detach();
     }
     let (listed, ready) = async_channel::bounded::<()>(1);
     {
-        let (shared, handle) = (shared.clone(), handle.clone());
-        executor.spawn(async move { follow(&shared, &handle, listed, text).await }).detach();
+        let (fleet, handle) = (fleet.clone(), handle.clone());
+        executor.spawn(async move { follow(&fleet, &handle, listed, text).await }).detach();
     }
     let hosts =
         Hosts::new(Sparql::new(limits.clone(), operator.host_path.clone(), fields), limits.clone(), clock);
-    let carrying = carry(&executor, &hosts, commands, &handle, async |_| {});
+    {
+        // What other daemons' modules have heard of a host is a hint to this one's.
+        let (fleet, handle) = (fleet.clone(), handle.clone());
+        let task = async move {
+            while let Some(bytes) = fleet.hinted().await {
+                handle.input(Input::Peer { from: 0, bytes }).await;
+            }
+        };
+        executor.spawn(task).detach();
+    }
+    let carrying = carry(&executor, &hosts, commands, &handle, async move |command| {
+        if let Command::Tell { bytes, .. } = command {
+            fleet.hint(bytes);
+        }
+    });
     let at = listener.get_ref().local_addr().unwrap_or(operator.listen);
     log::info!("{}: SPARQL at http://{at}{}", operator.name, operator.service.path);
     let service = operator.service.clone();
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -4,7 +4,7 @@
 use crate::clock::Clock;
 use crate::config::{Limits, Machine};
 use crate::core::classes::Classes;
-use crate::core::members::Listing;
+use crate::core::members::{Known, Listing};
 use crate::core::{self, Command, Control, Input};
 use crate::json::{self, Platform};
 use crate::net::duty::Duty;
@@ -13,7 +13,6 @@
 use crate::net::pg::front::Front;
 use crate::net::pg::host::Pg;
 use crate::net::{discovery as watcher, listen, passed};
-use crate::store::{Store, view};
 use async_channel::Sender;
 use async_io::{Async, Timer};
 use std::cell::{Cell, RefCell};
@@ -79,13 +78,12 @@
     let fields = settings.report_fields.clone();
     let (handle, commands) = core::start(settings, &classes, platform.seed, &limits, clock.clone())
         .map_err(|e| format!("module: {e}"))?;
-    // Here the store has no peers and no file: it keeps the last known list in memory, fed by discovery.
-    let store = Rc::new(RefCell::new(Store::new(platform.name.clone(), true).without_tombstones()));
+    // Here there is no store: the last known list is kept in memory, fed by discovery.
+    let hosts_known = Rc::new(RefCell::new(Known::default()));
     let known = platform.known.is_some();
     if let Some(known) = platform.known {
-        let known = Listing { whole: true, ..known };
-        view::take_list(&mut store.borrow_mut(), &known);
-        let list = view::listing(&store.borrow());
+        hosts_known.borrow_mut().take(&Listing { whole: true, ..known });
+        let list = hosts_known.borrow().listing();
         handle.control(Control::List { list, cached: true }).await;
     }
     let succeeds = platform.passed.is_some();
@@ -147,10 +145,10 @@
         let (zones, seed) = (platform.zones, platform.seed);
         let task = async move {
             let deliver = |list: Listing| {
-                let (handle, listed, store) = (&handle, &listed, &store);
+                let (handle, listed, known) = (&handle, &listed, &hosts_known);
                 async move {
-                    view::take_list(&mut store.borrow_mut(), &list);
-                    let list = view::listing(&store.borrow());
+                    known.borrow_mut().take(&list);
+                    let list = known.borrow().listing();
                     handle.control(Control::List { list, cached: false }).await;
                     listed.close();
                 }
--- /dev/null
+++ b/src/fleet/api.rs
@@ -0,0 +1,216 @@
+//! The calls at the store's address: HTTP on loopback.
+
+use super::driver::{Fleet, Outcome, Table};
+use super::members::Wish;
+use crate::core::members::Listed;
+use crate::interface::Availability;
+use crate::net::buffer::Buffer;
+use crate::net::http::server::{self, Next, Request};
+use crate::net::link::Link;
+use crate::store::form::NodeId;
+use std::fmt::Write;
+use std::rc::Rc;
+use std::time::Instant;
+
+/// Serves one connection of another daemon or an operator.
+pub async fn serve(fleet: Rc<Fleet>, mut link: Link) {
+    let mut buffer = Buffer::default();
+    loop {
+        let (bytes, keeps) = match server::next(&mut link, &mut buffer, &fleet.limits).await {
+            Next::Over => break,
+            Next::Refused(status, why) => (server::answer(status, &[("Connection", "close")], &why), false),
+            Next::Request(request) if Fleet::is_link(&request) => return fleet.serve(link, buffer).await,
+            Next::Request(request) => {
+                let (status, text) = answer(&fleet, &request).await;
+                (server::answer(status, &[], &text), request.keeps_open() && !link.ends())
+            }
+        };
+        if link.write(&bytes).await.is_err() || !keeps {
+            break;
+        }
+    }
+    let _ = link.linger().await;
+}
+
+async fn answer(fleet: &Fleet, request: &Request) -> (u16, String) {
+    let (path, _) = request.target();
+    let method = request.head.line[0].as_str();
+    // A page in a browser on this machine could otherwise drain hosts.
+    if request.head.get("origin").is_some() {
+        return (403, "not for web pages".into());
+    }
+    match (method, path) {
+        ("GET", "/hosts") => (200, hosts(fleet)),
+        ("GET", "/fleet") => (200, describe(fleet)),
+        ("POST", "/fleet/form") if fleet.form() => (200, "a fleet is formed".into()),
+        ("POST", "/fleet/form") => (409, format!("not formed: {}", fleet.table().stand.0)),
+        ("POST", _) => post(fleet, path).await,
+        ("GET", _) => (404, "nothing is here".into()),
+        _ => (405, "GET or POST".into()),
+    }
+}
+
+async fn post(fleet: &Fleet, path: &str) -> (u16, String) {
+    if fleet.table().removed {
+        return (409, "this daemon was removed from its fleet: say it to another one".into());
+    }
+    if let Some(name) = path.strip_prefix("/drain/") {
+        return match fleet.drain(name).await {
+            None => (404, format!("no host {name:?}")),
+            Some(Outcome::Agreed) => (200, format!("{name} drained")),
+            Some(_) => {
+                (202, format!("{name} drained here and wherever this daemon is heard; waits for a majority"))
+            }
+        };
+    }
+    if let Some(name) = path.strip_prefix("/undrain/") {
+        let known = fleet.table().state.hosts.contains_key(name);
+        return match fleet.undrain(name).await {
+            Outcome::Agreed if known && fleet.table().state.is_drained(name) => {
+                (409, format!("{name} stays drained: it was drained again meanwhile"))
+            }
+            Outcome::Agreed if known => (200, format!("{name} in service")),
+            Outcome::Agreed => (404, format!("no host {name:?}")),
+            _ => (
+                503,
+                format!("not done: no majority agreed in time; {name} stays drained. Say it again later"),
+            ),
+        };
+    }
+    let wish = path.strip_prefix("/fleet/vote/").map(|n| (n, Wish::Vote));
+    let wish = wish.or(path.strip_prefix("/fleet/leave/").map(|n| (n, Wish::Leave)));
+    let Some((name, wish)) = wish else { return (404, "nothing is here".into()) };
+    match fleet.wish(name, wish).await {
+        None => (404, format!("no daemon {name:?} in the fleet")),
+        Some(Outcome::Agreed) if wish == Wish::Vote => (200, format!("{name} votes")),
+        Some(Outcome::Agreed) => (200, format!("{name} has left")),
+        Some(_) => (503, "not done: no majority agreed in time. Say it again later".into()),
+    }
+}
+
+fn line(host: &Listed) -> String {
+    let Listed { name, address, zone, group, weight, started_at, .. } = host;
+    let status = if host.availability == Availability::Ready { "active" } else { "leaving" };
+    format!("{name} {address} {group} {zone} {weight} {status} {}", started_at.unwrap_or(0) / 1000)
+}
+
+fn hosts(fleet: &Fleet) -> String {
+    let list = fleet.listing();
+    list.map_or(String::new(), |l| l.entries.iter().map(line).collect::<Vec<_>>().join("\n"))
+}
+
+/// What this daemon is in the fleet.
+pub fn role(table: &Table) -> &'static str {
+    let me = table.identity.id;
+    match () {
+        _ if table.broken.is_some() => "broken",
+        _ if table.removed => "removed",
+        _ if table.state.fleet == 0 => "none",
+        _ if table.status.leader == me => "leader",
+        _ if table.status.conf.voters.contains(&me) => "voter",
+        _ => "follower",
+    }
+}
+
+/// All that is known of the fleet, a line for each fact.
+pub fn describe(fleet: &Fleet) -> String {
+    let table = fleet.table();
+    let now = Instant::now();
+    let name = |id: NodeId| match table.state.members.get(&id) {
+        Some(m) => m.name.clone(),
+        None if id == 0 => "none".into(),
+        None => table.heard.get(&id).map_or(format!("{id:016x}"), |h| h.name.clone()),
+    };
+    let status = &table.status;
+    let mut out = String::new();
+    let _ = writeln!(out, "fleet {:032x}", table.state.fleet);
+    let _ = writeln!(out, "daemon {} {:016x} {}", fleet.me.name, table.identity.id, role(&table));
+    let _ = writeln!(out, "leader {} term {}", name(status.leader), status.term);
+    // The place up to which anybody said that there is agreement.
+    let most = table.heard.values().map(|h| h.beat.agreed).chain([status.agreed]).max().unwrap_or(0);
+    let lag = most.saturating_sub(table.applied);
+    let _ = writeln!(
+        out,
+        "agreed {} applied {} digest {:08x} lag {lag}",
+        status.agreed, table.applied, table.state.digest
+    );
+    let stale = table.state.fleet == 0 || status.leader == 0 || table.removed || table.broken.is_some();
+    let _ = writeln!(
+        out,
+        "serves {}",
+        match (&table.state.inventory, stale) {
+            (None, _) => "nothing: no inventory was agreed yet",
+            (Some(_), false) => "with what is agreed",
+            (Some(_), true) => "with what was last agreed: no majority is known",
+        }
+    );
+    if table.state.fleet == 0 {
+        let _ = writeln!(out, "waits {} ms: {}", (now - table.stand.1).as_millis(), table.stand.0);
+    }
+    if let Some(why) = &table.broken {
+        let _ = writeln!(out, "broken {why}");
+    }
+    for (host, mark) in table.marks.all() {
+        let _ = writeln!(out, "unagreed drain {host} said by {} {}", name(mark.by), mark.number);
+    }
+    for host in table.state.drains.keys() {
+        let _ = writeln!(out, "drain {host}");
+    }
+    if let Some((source, _)) = &table.state.settings {
+        let _ = writeln!(
+            out,
+            "settings of {} changed {} version {}",
+            source.by,
+            source.changed / 1000,
+            source.version
+        );
+    }
+    if let Some(source) = &table.state.inventory {
+        let own = match (&table.files.hosts, table.differs) {
+            (None, _) => "no file of its own".to_string(),
+            (_, None) => "its own file says the same".to_string(),
+            (_, Some((added, changed, missing))) => {
+                format!("its own file adds {added}, changes {changed}, lacks {missing}")
+            }
+        };
+        let _ = writeln!(
+            out,
+            "inventory of {} changed {} version {} hosts {}; {own}",
+            source.by,
+            source.changed / 1000,
+            source.version,
+            table.state.hosts.len()
+        );
+    }
+    for (id, member) in &table.state.members {
+        let votes = if status.conf.voters.contains(id) { "voter" } else { "follower" };
+        let word = match table.heard.get(id) {
+            _ if *id == table.identity.id => "this daemon".to_string(),
+            None => "never heard".to_string(),
+            Some(h) => format!(
+                "heard {} ms ago agreed {} applied {} leader {}",
+                (now - h.at).as_millis(),
+                h.beat.agreed,
+                h.beat.applied.0,
+                name(h.beat.leader)
+            ),
+        };
+        let _ = writeln!(out, "member {} {id:016x} {} {votes} {word}", member.name, member.address);
+    }
+    for (id, (hello, at)) in &table.candidates {
+        if !table.state.members.contains_key(id) {
+            let _ = writeln!(out, "candidate {} {id:016x} {} ms ago", hello.name, (now - *at).as_millis());
+        }
+    }
+    for (id, name) in table.state.removed.iter().rev().take(8) {
+        let _ = writeln!(out, "removed {name} {id:016x}");
+    }
+    let full: u64 = fleet.ways().iter().map(|w| w.dropped.get()).sum();
+    let _ = writeln!(
+        out,
+        "dropped frames {} letters {} unsent {full} panics {}",
+        table.dropped, status.dropped.0, status.dropped.1
+    );
+    let _ = write!(out, "log bytes {} entries {}", status.log.0, status.log.1);
+    out
+}
--- /dev/null
+++ b/src/fleet/driver.rs
@@ -0,0 +1,1057 @@
+//! Carries out what the fleet's decisions say: keeps the ways to the others open, hands letters to the thread
+//! that owns the agreement and takes in what it agreed on.
+
+use super::forming::{self, Hello, Stand, Verdict};
+use super::frame::{Beat, Frame};
+use super::marks::Marks;
+use super::members::{Next, View, Wish};
+use super::way::{PATH, PROTOCOL, Way, may_meet};
+use crate::clock::Clock;
+use crate::config::Limits;
+use crate::core::members::{Listed, Listing};
+use crate::interface::Micros;
+use crate::net::buffer::Buffer;
+use crate::net::http::server::{self, Request};
+use crate::net::link::Link;
+use crate::net::until;
+use crate::store::agreed::{Change, Effect, Member, Proposal, State};
+use crate::store::disk::Identity;
+use crate::store::form::{FleetId, Letter, NodeId};
+use crate::store::owner::{Input, Opened, Output, Status};
+use crate::store::replica::{Applied, What};
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use std::cell::{Cell, Ref, RefCell, RefMut};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// What this daemon's own files say, each with when it was last changed.
+#[derive(Clone, Debug, Default)]
+pub struct Files {
+    /// The settings of the operator's file.
+    pub settings: Option<(String, Micros)>,
+    /// The hosts of the inventory.
+    pub hosts: Option<(Vec<Listed>, Micros)>,
+}
+
+/// Who this daemon is to the others.
+#[derive(Clone, Debug)]
+pub struct Me {
+    /// Its name.
+    pub name: String,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Addresses of others that its own file names.
+    pub named: Vec<SocketAddr>,
+}
+
+/// What was last heard of another daemon.
+#[derive(Clone, Debug)]
+pub struct Heard {
+    /// When.
+    pub at: Instant,
+    /// Its name.
+    pub name: String,
+    /// Its last word.
+    pub beat: Beat,
+}
+
+/// All that the driver knows.
+pub struct Table {
+    /// Who this daemon is, by its disk.
+    pub identity: Identity,
+    /// What is agreed.
+    pub state: State,
+    /// The last place of the log that was taken in.
+    pub applied: u64,
+    /// How things stand with the agreement.
+    pub status: Status,
+    /// Drains that are not agreed.
+    pub marks: Marks,
+    /// What this daemon's own files say.
+    pub files: Files,
+    /// What a store of the old form said.
+    pub legacy: Vec<Change>,
+    /// Daemons that are no members and were met, with when.
+    pub candidates: BTreeMap<NodeId, (Hello, Instant)>,
+    /// What others said of themselves while there was no fleet.
+    pub met: BTreeMap<SocketAddr, Hello>,
+    /// Addresses at which a fleet's members are said to be.
+    pub told: BTreeMap<SocketAddr, String>,
+    /// The last word of each.
+    pub heard: BTreeMap<NodeId, Heard>,
+    /// Members that have found nothing wrong with this daemon's disk.
+    pub welcomes: BTreeSet<NodeId>,
+    /// What operators want, with when it was last said.
+    pub wishes: BTreeMap<(String, Wish), Instant>,
+    /// An operator has said that a fleet is to be formed with whoever has answered.
+    pub word: bool,
+    /// This daemon was removed from its fleet.
+    pub removed: bool,
+    /// The disk failed.
+    pub broken: Option<String>,
+    /// Why there is no agreed configuration, or none to act on, since when.
+    pub stand: (String, Instant),
+    /// How this daemon's inventory file differs from the agreed one: added, changed, missing.
+    pub differs: Option<(usize, usize, usize)>,
+    /// Frames that were out of form or from strangers.
+    pub dropped: u64,
+    /// When this daemon, having been a leader or not, last knew of one.
+    pub led: Instant,
+}
+
+/// The fleet as one of its daemons sees it.
+pub struct Fleet {
+    /// Who this daemon is to the others.
+    pub me: Me,
+    /// The program's limits.
+    pub limits: Rc<Limits>,
+    clock: Clock,
+    executor: Rc<LocalExecutor<'static>>,
+    inputs: Sender<Input>,
+    table: RefCell<Table>,
+    ways: RefCell<BTreeMap<SocketAddr, Rc<Way>>>,
+    /// Those who wait for what changes.
+    waiting: RefCell<Vec<Sender<()>>>,
+    /// Changes that were said here and wait for the log.
+    tokens: RefCell<BTreeMap<u64, Option<Effect>>>,
+    next: Cell<u64>,
+    saved: Cell<u64>,
+    saving: Cell<u64>,
+    hints: (Sender<Vec<u8>>, Receiver<Vec<u8>>),
+    proposed: RefCell<BTreeMap<String, (u64, Instant)>>,
+    /// Closed when all connections are to be opened anew.
+    epoch: RefCell<(Sender<()>, Receiver<()>)>,
+    compared: Cell<(Micros, u64)>,
+}
+
+/// What became of a change that an operator asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It is agreed.
+    Agreed,
+    /// It holds here, and waits for a majority.
+    Here,
+    /// It does not hold: there was no majority in time.
+    Not,
+}
+
+impl Fleet {
+    /// The fleet, before anything is heard of the others.
+    pub fn new(
+        me: Me,
+        limits: Rc<Limits>,
+        clock: Clock,
+        executor: Rc<LocalExecutor<'static>>,
+        opened: Opened,
+        inputs: Sender<Input>,
+    ) -> Rc<Fleet> {
+        let now = Instant::now();
+        let Opened { identity, state, status, marks, legacy } = opened;
+        let mut marks = Marks::new(marks);
+        let legacy = legacy.map_or(Vec::new(), |old| {
+            for host in &old.drains {
+                marks.say(host, identity.id, clock.now());
+            }
+            old.changes(&me.name)
+        });
+        marks.settle(&state);
+        let table = Table {
+            applied: status.applied,
+            identity,
+            state,
+            status,
+            marks,
+            files: Files::default(),
+            legacy,
+            candidates: BTreeMap::new(),
+            met: BTreeMap::new(),
+            told: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            welcomes: BTreeSet::new(),
+            wishes: BTreeMap::new(),
+            word: false,
+            removed: false,
+            broken: None,
+            stand: ("starts".into(), now),
+            differs: None,
+            dropped: 0,
+            led: now,
+        };
+        Rc::new(Fleet {
+            me,
+            limits,
+            // A token of an earlier start must not answer a call of this one.
+            next: Cell::new(clock.now().max(0) as u64),
+            clock,
+            executor,
+            inputs,
+            table: RefCell::new(table),
+            ways: RefCell::default(),
+            waiting: RefCell::default(),
+            tokens: RefCell::default(),
+            saved: Cell::new(0),
+            saving: Cell::new(0),
+            hints: async_channel::bounded(64),
+            proposed: RefCell::default(),
+            epoch: RefCell::new(async_channel::bounded(1)),
+            compared: Cell::default(),
+        })
+    }
+
+    /// Looks at what is known.
+    pub fn table(&self) -> Ref<'_, Table> {
+        self.table.borrow()
+    }
+
+    fn change(&self) -> RefMut<'_, Table> {
+        self.table.borrow_mut()
+    }
+
+    /// The ways to the others.
+    pub fn ways(&self) -> Vec<Rc<Way>> {
+        self.ways.borrow().values().cloned().collect()
+    }
+
+    /// A wake-up at every change of what is known, from now on.
+    pub fn watch(&self) -> Receiver<()> {
+        let (wake, woken) = async_channel::bounded(1);
+        self.waiting.borrow_mut().push(wake);
+        woken
+    }
+
+    fn wake(&self) {
+        // One that is full wakes its receiver as it is; one whose receiver is gone is forgotten.
+        self.waiting.borrow_mut().retain(|w| !w.is_closed() && (w.try_send(()).is_ok() || !w.is_closed()));
+    }
+
+    /// Another one where the list may have changed.
+    pub fn list_version(&self) -> (u32, u64) {
+        let table = self.table();
+        (table.state.digest, table.marks.version())
+    }
+
+    /// The list to act on, once one was agreed: hosts that are drained here are closed, agreed or not.
+    pub fn listing(&self) -> Option<Listing> {
+        let table = self.table();
+        table.state.inventory.as_ref()?;
+        Some(table.state.listing(table.applied, |host| table.marks.drains(host)))
+    }
+
+    /// The agreed settings.
+    pub fn settings(&self) -> Option<String> {
+        self.table().state.settings.as_ref().map(|(_, text)| text.clone())
+    }
+
+    /// Notes what this daemon's own files say now.
+    pub fn read_files(&self, note: impl FnOnce(&mut Files)) {
+        note(&mut self.change().files);
+        self.compare();
+        self.reconcile();
+    }
+
+    fn hello(&self) -> Hello {
+        let table = self.table();
+        Hello {
+            fleet: table.state.fleet,
+            id: table.identity.id,
+            name: self.me.name.clone(),
+            address: self.me.address,
+            witness: table.status.witness,
+        }
+    }
+
+    fn beat(&self) -> Frame {
+        let table = self.table();
+        Frame::Beat(Beat {
+            leader: table.status.leader,
+            term: table.status.term,
+            agreed: table.status.agreed,
+            applied: (table.applied, table.state.digest),
+            marks: table.marks.digest(),
+        })
+    }
+
+    fn tell(&self, input: Input) {
+        // Full: the disk is slow, and what was said here is said again. Letters are lost as on any way.
+        if self.inputs.try_send(input).is_err() {
+            log::debug!("store: the queue is full");
+        }
+    }
+
+    fn spread(&self, frame: &Frame) {
+        let bytes = frame.bytes();
+        for way in self.ways().iter().filter(|w| w.up.get()) {
+            way.send(&bytes);
+        }
+    }
+
+    fn way_to(&self, id: NodeId) -> Option<Rc<Way>> {
+        self.ways.borrow().values().find(|w| w.up.get() && w.id() == id).cloned()
+    }
+
+    // ---- what the agreement's thread says ----
+
+    /// Takes in what the agreement's thread says, for ever; comes back with why when it has failed.
+    pub async fn hear_store(&self, outputs: &Receiver<Output>) {
+        while let Ok(output) = outputs.recv().await {
+            match output {
+                Output::Letters(letters) => self.post(letters),
+                Output::Applied(applied) => self.take_in(applied),
+                Output::Status(status) => {
+                    let mut table = self.change();
+                    if table.status.leader != status.leader || table.status.term != status.term {
+                        let name =
+                            |id| table.state.members.get(&id).map_or("nobody".into(), |m| m.name.clone());
+                        log::info!("fleet: term {}, {} leads", status.term, name(status.leader));
+                    }
+                    if status.leader != 0 {
+                        table.led = Instant::now();
+                    }
+                    table.status = *status;
+                    drop(table);
+                    self.wake();
+                }
+                Output::Saved(version) => {
+                    self.saved.set(self.saved.get().max(version));
+                    self.wake();
+                }
+                Output::Renewed(identity) => {
+                    log::warn!("fleet: this daemon begins anew, as {:016x}", identity.id);
+                    let mut table = self.change();
+                    table.identity = identity;
+                    table.welcomes.clear();
+                    // What was agreed goes on to be served until the fleet has told it again.
+                    table.state.fleet = 0;
+                    table.removed = false;
+                    drop(table);
+                    self.renew();
+                }
+                Output::Broken(why) => {
+                    log::error!(
+                        "store: {why}; this daemon agrees to nothing any more, and serves with what it has"
+                    );
+                    self.change().broken = Some(why);
+                    self.wake();
+                }
+            }
+        }
+    }
+
+    fn post(&self, letters: Vec<Letter>) {
+        let mut by: BTreeMap<NodeId, Vec<Letter>> = BTreeMap::new();
+        letters.into_iter().for_each(|l| by.entry(l.to).or_default().push(l));
+        for (to, letters) in by {
+            let whole = letters.iter().any(Letter::carries_state);
+            let sent = self.way_to(to).is_some_and(|way| way.send(&Frame::Letters(letters).bytes()));
+            if whole {
+                self.tell(Input::Sent(to, sent));
+            }
+        }
+    }
+
+    fn take_in(&self, applied: Vec<Applied>) {
+        let mut table = self.change();
+        let (fleet, me) = (table.state.fleet, table.identity.id);
+        for one in applied {
+            match one.what {
+                What::State(state) => table.state = *state,
+                What::Change(Proposal { from, token, change }) => {
+                    let effect = table.state.apply(one.index, &change);
+                    log::debug!(
+                        "fleet: agreed {} {:08x}: {}",
+                        one.index,
+                        one.digest,
+                        describe(&change, effect)
+                    );
+                    if from == me
+                        && let Some(waits) = self.tokens.borrow_mut().get_mut(&token)
+                    {
+                        *waits = Some(effect);
+                    }
+                }
+                What::Members(change) => {
+                    table.state.apply_members(&change);
+                    if !change.steps.is_empty() {
+                        log::info!("fleet: members: {:?}", change.steps);
+                    }
+                }
+                What::Nothing => {}
+            }
+            table.applied = one.index;
+            table.state.digest = one.digest;
+        }
+        let joined = table.state.fleet != fleet;
+        if joined {
+            log::info!("fleet: {} is of fleet {:032x}", self.me.name, table.state.fleet);
+            table.met.clear();
+            table.told.clear();
+        }
+        let is_member = table.state.members.contains_key(&me);
+        if table.state.fleet != 0 && table.state.removed.contains_key(&me) && !is_member && !table.removed {
+            table.removed = true;
+            log::warn!(
+                "fleet: this daemon was removed; it serves with what it last knew and agrees to nothing"
+            );
+        }
+        let Table { marks, state, .. } = &mut *table;
+        let settled = marks.settle(state);
+        drop(table);
+        if settled {
+            self.save();
+        }
+        if joined {
+            self.renew();
+        }
+        self.compare();
+        self.wake();
+        self.reconcile();
+    }
+
+    /// All connections are opened anew, both ways: what was said at their beginning has changed.
+    fn renew(&self) {
+        self.ways().iter().for_each(|w| w.renew());
+        let (before, _) = self.epoch.replace(async_channel::bounded(1));
+        before.close();
+    }
+
+    /// Keeps drains that are not agreed on the disk.
+    fn save(&self) {
+        let table = self.table();
+        if self.saving.get() < table.marks.version() {
+            self.saving.set(table.marks.version());
+            self.tell(Input::Marks(table.marks.all(), table.marks.version()));
+        }
+    }
+
+    /// Says how this daemon's own inventory differs from the agreed one.
+    fn compare(&self) {
+        let mut table = self.change();
+        let Some((hosts, _)) = &table.files.hosts else { return };
+        let Some(source) = &table.state.inventory else { return };
+        let changed = table.files.hosts.as_ref().map_or(0, |(_, changed)| *changed);
+        if self.compared.replace((changed, source.version)) == (changed, source.version) {
+            return;
+        }
+        let differs = Some(table.state.differs(hosts)).filter(|d| *d != (0, 0, 0));
+        if differs != table.differs {
+            match differs {
+                Some((added, changed, missing)) => log::warn!(
+                    "fleet: the inventory of {} counts; this daemon's own file adds {added}, changes {changed} and lacks {missing} hosts",
+                    source.by
+                ),
+                None => log::info!("fleet: this daemon's own inventory says what is agreed"),
+            }
+            table.differs = differs;
+        }
+    }
+
+    // ---- what is proposed ----
+
+    fn token(&self) -> u64 {
+        self.next.set(self.next.get() + 1);
+        self.next.get()
+    }
+
+    /// Brings a change to the leader.
+    fn forward(&self, proposal: Proposal) {
+        let (leader, me) = {
+            let table = self.table();
+            (table.status.leader, table.identity.id)
+        };
+        if leader == me {
+            self.tell(Input::Propose(proposal));
+        } else if let Some(way) = self.way_to(leader) {
+            way.send(&Frame::Forward(proposal).bytes());
+        }
+    }
+
+    /// Proposes what this daemon's own files say, where it is newer than what is agreed.
+    fn reconcile(&self) {
+        let wanted: Vec<(String, Change)> = {
+            let table = self.table();
+            let state = &table.state;
+            if state.fleet == 0 || !state.is_complete() || table.removed || table.status.leader == 0 {
+                return;
+            }
+            let mut wanted = Vec::new();
+            let old = |c: &&Change| match c {
+                Change::Settings { changed, .. } => {
+                    state.settings.as_ref().is_none_or(|(s, _)| *changed > s.changed)
+                }
+                _ => state.inventory.is_none(),
+            };
+            wanted.extend(table.legacy.iter().filter(old).map(|c| (format!("legacy {c:?}"), c.clone())));
+            if let Some((text, changed)) = &table.files.settings
+                && state.settings.as_ref().is_none_or(|(s, _)| *changed > s.changed)
+            {
+                let (by, text) = (self.me.name.clone(), text.clone());
+                wanted
+                    .push((format!("settings {changed}"), Change::Settings { by, changed: *changed, text }));
+            }
+            if let Some((hosts, changed)) = &table.files.hosts
+                && !wanted.iter().any(|(_, c)| matches!(c, Change::Inventory { .. }))
+                && let Some(change) = state.inventory_change(&self.me.name, hosts, *changed, self.clock.now())
+            {
+                let base = state.inventory.as_ref().map_or(0, |i| i.version);
+                wanted.push((format!("inventory {changed} {base}"), change));
+            }
+            wanted
+        };
+        let now = Instant::now();
+        let from = self.table().identity.id;
+        let mut proposed = self.proposed.borrow_mut();
+        proposed.retain(|key, _| wanted.iter().any(|(k, _)| k == key));
+        for (key, change) in wanted {
+            let token = match proposed.get(&key) {
+                // Said a moment ago: the leader may still have it.
+                Some((_, at)) if now - *at < self.limits.insist => continue,
+                Some((token, _)) => *token,
+                None => self.token(),
+            };
+            proposed.insert(key, (token, now));
+            self.forward(Proposal { from, token, change });
+        }
+    }
+
+    /// Drains a host: here and wherever this daemon is heard at once, for good once a majority has it. `None`:
+    /// there is no such host.
+    pub async fn drain(&self, host: &str) -> Option<Outcome> {
+        let mark = {
+            let mut table = self.change();
+            if !table.state.hosts.contains_key(host) {
+                return None;
+            }
+            if table.state.is_drained(host) {
+                return Some(Outcome::Agreed);
+            }
+            let (me, now) = (table.identity.id, self.clock.now());
+            table.marks.say(host, me, now)
+        };
+        log::info!("fleet: {host} is drained here");
+        self.wake();
+        self.spread(&Frame::Marks(self.table().marks.all()));
+        self.save();
+        self.lead();
+        let version = self.table().marks.version();
+        let woken = self.watch();
+        let agreed = async {
+            while !self.table().state.settled(host, mark) {
+                let _ = woken.recv().await;
+            }
+        };
+        if until(Instant::now() + self.limits.agree, agreed).await.is_some() {
+            return Some(Outcome::Agreed);
+        }
+        let saved = async {
+            while self.saved.get() < version && self.table().broken.is_none() {
+                let _ = woken.recv().await;
+            }
+        };
+        until(Instant::now() + self.limits.agree, saved).await;
+        Some(if self.table().state.settled(host, mark) { Outcome::Agreed } else { Outcome::Here })
+    }
+
+    /// Ends the drains of a host that this daemon has heard of, once a majority agrees.
+    pub async fn undrain(&self, host: &str) -> Outcome {
+        let marks: BTreeSet<_> = {
+            let table = self.table();
+            let agreed = table.state.drains.get(host).into_iter().flatten().copied();
+            agreed.chain(table.marks.of(host)).collect()
+        };
+        if marks.is_empty() {
+            return Outcome::Agreed;
+        }
+        let change = Change::Undrain { host: host.to_string(), marks: marks.into_iter().collect() };
+        self.agree(change).await
+    }
+
+    /// Has a change agreed, or gives it up in time.
+    async fn agree(&self, change: Change) -> Outcome {
+        let (from, token) = (self.table().identity.id, self.token());
+        self.tokens.borrow_mut().insert(token, None);
+        let woken = self.watch();
+        let work = async {
+            loop {
+                self.forward(Proposal { from, token, change: change.clone() });
+                let end = Instant::now() + self.limits.insist;
+                loop {
+                    if let Some(Some(_)) = self.tokens.borrow().get(&token) {
+                        return;
+                    }
+                    if until(end, woken.recv()).await.is_none() {
+                        break;
+                    }
+                }
+            }
+        };
+        let done = until(Instant::now() + self.limits.agree, work).await;
+        self.tokens.borrow_mut().remove(&token);
+        if done.is_some() { Outcome::Agreed } else { Outcome::Not }
+    }
+
+    /// Has a daemon of this name get a vote, or go. `None`: there is none of this name.
+    pub async fn wish(&self, name: &str, wish: Wish) -> Option<Outcome> {
+        let done = |table: &Table| {
+            let mut ids = table.state.members.iter().filter(|(_, m)| m.name == name).map(|(id, _)| id);
+            match wish {
+                Wish::Vote => ids.any(|id| table.status.conf.voters.contains(id)),
+                Wish::Leave => ids.next().is_none(),
+            }
+        };
+        if !self.table().state.members.values().any(|m| m.name == name) {
+            return None;
+        }
+        let woken = self.watch();
+        let work = async {
+            loop {
+                if done(&self.table()) {
+                    return;
+                }
+                self.wishes(name.to_string(), wish);
+                let (leader, me) = (self.table().status.leader, self.table().identity.id);
+                if leader != me
+                    && let Some(way) = self.way_to(leader)
+                {
+                    way.send(&Frame::Wish(name.to_string(), wish).bytes());
+                }
+                super::way::rest(self.limits.insist, &woken).await;
+            }
+        };
+        let done = until(Instant::now() + self.limits.agree * 2, work).await;
+        Some(if done.is_some() { Outcome::Agreed } else { Outcome::Not })
+    }
+
+    fn wishes(&self, name: String, wish: Wish) {
+        let mut table = self.change();
+        if table.wishes.len() < self.limits.members {
+            table.wishes.insert((name, wish), Instant::now());
+        }
+    }
+
+    /// An operator's word: form a fleet with whoever has answered. False: there is one already.
+    pub fn form(&self) -> bool {
+        if self.table().state.fleet != 0 {
+            return false;
+        }
+        self.change().word = true;
+        self.found();
+        self.table().stand.0 == Stand::Found(BTreeSet::new()).to_string() || self.table().state.fleet != 0
+    }
+
+    /// Founds a fleet where this daemon is the one to do it.
+    fn found(&self) {
+        let stand = {
+            let table = self.table();
+            if table.state.fleet != 0 || table.removed || table.broken.is_some() {
+                return;
+            }
+            let me = (self.me.name.as_str(), table.identity.id);
+            forming::stand(me, &self.me.named, &table.met, table.word)
+        };
+        self.stands(stand.to_string());
+        if let Stand::Found(others) = stand {
+            let id = self.table().identity.id;
+            let member = Member { name: self.me.name.clone(), address: self.me.address };
+            let fleet: FleetId = fastrand::u128(1..);
+            self.tell(Input::Found(Box::new(State::found(fleet, id, member, others))));
+        }
+    }
+
+    fn stands(&self, why: String) {
+        let mut table = self.change();
+        if table.stand.0 != why {
+            log::info!("fleet: {why}");
+            table.stand = (why, Instant::now());
+        }
+    }
+
+    /// Takes part in the agreement once enough of the others have found nothing wrong with this daemon's disk.
+    fn take_part(&self) {
+        let enough = {
+            let table = self.table();
+            let voters = &table.status.conf.voters;
+            let welcome = voters.iter().filter(|v| table.welcomes.contains(v)).count() + 1;
+            !table.status.part && !table.removed && table.broken.is_none() && welcome * 2 > voters.len()
+        };
+        if enough {
+            self.tell(Input::TakePart);
+        }
+    }
+
+    /// What a leader does now and then, and after each change.
+    fn lead(&self) {
+        let mut table = self.change();
+        let me = table.identity.id;
+        if table.status.leader != me || !table.status.part {
+            return;
+        }
+        let insist = self.limits.insist.as_micros() as Micros;
+        let due =
+            if table.state.is_complete() { table.marks.due(self.clock.now(), insist) } else { Vec::new() };
+        let now = Instant::now();
+        table.wishes.retain(|_, at| now - *at < self.limits.agree);
+        let recent = self.limits.gone;
+        table.candidates.retain(|_, (_, at)| now - *at < recent);
+        let next = {
+            let candidates = table.candidates.iter().map(|(id, (hello, _))| (*id, hello.clone())).collect();
+            let silent =
+                table.heard.iter().map(|(id, h)| (*id, (now - h.at).as_micros() as Micros)).collect();
+            let wishes = table.wishes.keys().cloned().collect();
+            let view = View {
+                me,
+                state: &table.state,
+                conf: &table.status.conf,
+                agreed: table.status.agreed,
+                progress: &table.status.progress,
+                candidates: &candidates,
+                silent: &silent,
+                wishes: &wishes,
+                gone: self.limits.gone.as_micros() as Micros,
+            };
+            view.next()
+        };
+        drop(table);
+        for change in due {
+            let proposal = Proposal { from: me, token: self.token(), change };
+            self.tell(Input::Propose(proposal));
+        }
+        match next {
+            Next::Nothing => {}
+            Next::Propose(change) => self.tell(Input::Members(change)),
+            Next::Transfer(to) => self.tell(Input::Transfer(to)),
+        }
+    }
+
+    /// Does for ever what has to be done now and then.
+    pub async fn go_on(self: &Rc<Fleet>) {
+        let mut beat = Instant::now();
+        let woken = self.watch();
+        loop {
+            self.found();
+            self.take_part();
+            self.open_ways();
+            self.lead();
+            self.reconcile();
+            if Instant::now() >= beat {
+                beat = Instant::now() + self.limits.beat;
+                self.spread(&self.beat());
+                let recent = Instant::now();
+                self.change().candidates.retain(|_, (_, at)| recent - *at < self.limits.gone * 5);
+            }
+            super::way::rest(self.limits.tick * 2, &woken).await;
+            // Many changes in a row are worked off together.
+            Timer::after(Duration::from_millis(1)).await;
+        }
+    }
+
+    // ---- the others ----
+
+    fn open_ways(self: &Rc<Fleet>) {
+        let wanted: BTreeMap<SocketAddr, bool> = {
+            let table = self.table();
+            let me = table.identity.id;
+            let ways = self.ways.borrow();
+            let named: BTreeSet<NodeId> = ways.values().filter(|w| w.named).map(|w| w.id()).collect();
+            let names: BTreeSet<String> = ways
+                .values()
+                .filter(|w| w.named)
+                .filter_map(|w| Some(w.met.borrow().as_ref()?.name.clone()))
+                .collect();
+            let member = |(id, m): (&NodeId, &Member)| {
+                (*id != me && !named.contains(id) && !names.contains(&m.name)).then_some(m.address)
+            };
+            let told = table.told.iter().filter(|(_, name)| !names.contains(*name) && **name != self.me.name);
+            let more = table.state.members.iter().filter_map(member).chain(told.map(|(at, _)| *at));
+            let more = more.filter(|at| *at != self.me.address).map(|at| (at, false));
+            more.chain(self.me.named.iter().map(|at| (*at, true))).collect()
+        };
+        let mut ways = self.ways.borrow_mut();
+        ways.retain(|at, way| {
+            if !wanted.contains_key(at) {
+                way.end();
+            }
+            wanted.contains_key(at)
+        });
+        for (at, named) in wanted {
+            if ways.contains_key(&at) || ways.len() >= self.limits.members {
+                continue;
+            }
+            let way = Rc::new(Way::new(at, named, &self.limits));
+            ways.insert(at, way.clone());
+            let fleet = self.clone();
+            let task = async move {
+                let judged = |way: &Way, verdict, other| fleet.judged(way, verdict, other);
+                let opened = |way: &Way| fleet.opened(way);
+                let broke = |way: &Way| fleet.broke(way);
+                way.keep(&fleet.limits, || fleet.hello(), judged, opened, broke).await;
+            };
+            self.executor.spawn(task).detach();
+        }
+    }
+
+    /// The other daemon has said what it makes of this one; whether frames may go.
+    fn judged(&self, way: &Way, verdict: Verdict, other: Hello) -> bool {
+        let mut table = self.change();
+        let first = !table.heard.contains_key(&other.id);
+        let (fleet, me) = (table.state.fleet, table.identity.id);
+        if other.id == me {
+            drop(table);
+            self.stands(format!("{} is this daemon itself, or one with a copy of its disk", way.address));
+            return false;
+        }
+        if first {
+            log::info!("fleet: {} is {} ({verdict:?})", way.address, other.name);
+        }
+        table.heard.entry(other.id).or_insert_with(|| Heard {
+            at: Instant::now(),
+            name: other.name.clone(),
+            beat: Beat::default(),
+        });
+        if fleet == 0 {
+            table.met.insert(way.address, other.clone());
+        }
+        let goes = match verdict {
+            Verdict::Welcome => {
+                if fleet != 0 && other.fleet == fleet {
+                    table.welcomes.insert(other.id);
+                }
+                may_meet(fleet, other.fleet)
+            }
+            Verdict::Candidate(members) => {
+                let more = members.into_iter().filter(|(name, _)| *name != self.me.name);
+                table.told = more.map(|(name, at)| (at, name)).take(self.limits.members).collect();
+                true
+            }
+            Verdict::Older if table.state.members.contains_key(&other.id) => {
+                log::warn!("fleet: {} knows more of this daemon than its disk does", other.name);
+                drop(table);
+                self.tell(Input::Renounce("older"));
+                return false;
+            }
+            Verdict::Removed if other.fleet == fleet && !table.removed => {
+                table.removed = true;
+                log::warn!(
+                    "fleet: {} says that this daemon was removed; it serves with what it last knew and agrees to nothing",
+                    other.name
+                );
+                false
+            }
+            Verdict::Older | Verdict::Removed | Verdict::Stranger => {
+                table.dropped += 1;
+                false
+            }
+        };
+        drop(table);
+        self.wake();
+        goes
+    }
+
+    /// What is not agreed, and how things stand, is said at once to whoever comes back.
+    fn opened(&self, way: &Way) {
+        way.send(&self.beat().bytes());
+        let marks = self.table().marks.all();
+        if !marks.is_empty() {
+            way.send(&Frame::Marks(marks).bytes());
+        }
+    }
+
+    /// A way has broken: what was said there no longer counts for the forming of a fleet.
+    fn broke(&self, way: &Way) {
+        self.change().met.remove(&way.address);
+        self.tell(Input::Unreachable(way.id()));
+    }
+
+    /// Whether a request asks for a connection between daemons.
+    pub fn is_link(request: &Request) -> bool {
+        request.target().0 == PATH && request.head.has("upgrade", PROTOCOL)
+    }
+
+    /// Hears another daemon on its connection until that ends.
+    pub async fn serve(&self, mut link: Link, mut buffer: Buffer) {
+        let upgrade = server::answer_head(101, &[("Connection", "Upgrade"), ("Upgrade", PROTOCOL)]);
+        if link.write(&upgrade).await.is_err() {
+            return;
+        }
+        let Some(Frame::Hello(hello)) = self.next_frame(&mut link, &mut buffer).await else { return };
+        let verdict = {
+            let mut table = self.change();
+            let known = table.status.witnesses.get(&hello.id).copied();
+            let verdict = forming::judge(&table.state, known.as_ref(), &hello);
+            match &verdict {
+                Verdict::Candidate(_) if table.candidates.len() < self.limits.members => {
+                    table.candidates.insert(hello.id, (hello.clone(), Instant::now()));
+                }
+                Verdict::Stranger | Verdict::Older => {
+                    table.dropped += 1;
+                    log::warn!("fleet: {} was turned away: {verdict:?}", hello.name);
+                }
+                _ => {}
+            }
+            verdict
+        };
+        let may = matches!(verdict, Verdict::Welcome | Verdict::Candidate(_));
+        let candidate = matches!(verdict, Verdict::Candidate(_));
+        if link.write(&Frame::Verdict(verdict, self.hello()).bytes()).await.is_err() || !may {
+            let _ = link.linger().await;
+            return;
+        }
+        for met in self.change().met.values_mut().filter(|met| met.id == hello.id) {
+            *met = hello.clone();
+        }
+        self.wake();
+        let epoch = self.epoch.borrow().1.clone();
+        let hear = async {
+            while let Some(frame) = self.next_frame(&mut link, &mut buffer).await {
+                if !self.take(&hello, candidate, frame) {
+                    break;
+                }
+            }
+        };
+        futures_lite::future::or(
+            async {
+                let _ = epoch.recv().await;
+            },
+            hear,
+        )
+        .await;
+    }
+
+    async fn next_frame(&self, link: &mut Link, buffer: &mut Buffer) -> Option<Frame> {
+        loop {
+            match Frame::read(buffer.unread(), self.limits.frame) {
+                Ok(Some((frame, used))) => {
+                    buffer.consume(used);
+                    return Some(frame);
+                }
+                Ok(None) => {}
+                Err(why) => {
+                    self.pass_over(why);
+                    return None;
+                }
+            }
+            // Every daemon has a word now and then: one that has none for so long is gone.
+            let end = Instant::now() + self.limits.stall;
+            if !matches!(until(end, link.read(buffer)).await, Some(Ok(n)) if n > 0) {
+                return None;
+            }
+        }
+    }
+
+    fn pass_over(&self, why: &str) {
+        let mut table = self.change();
+        table.dropped += 1;
+        if table.dropped.is_power_of_two() {
+            log::warn!("fleet: {} frames dropped, the last one {why}", table.dropped);
+        }
+    }
+
+    /// Takes in a frame of another daemon; false: nothing more is heard of it.
+    fn take(&self, from: &Hello, candidate: bool, frame: Frame) -> bool {
+        {
+            let mut table = self.change();
+            if !may_meet(table.state.fleet, from.fleet) || table.state.removed.contains_key(&from.id) {
+                drop(table);
+                self.pass_over("of another fleet");
+                return false;
+            }
+            if candidate {
+                // It has no say yet, but it is there.
+                if let Some((_, at)) = table.candidates.get_mut(&from.id) {
+                    *at = Instant::now();
+                } else if !table.state.members.contains_key(&from.id)
+                    && table.candidates.len() < self.limits.members
+                {
+                    table.candidates.insert(from.id, (from.clone(), Instant::now()));
+                }
+            }
+            let name = from.name.clone();
+            let heard = table.heard.entry(from.id);
+            let heard = heard.or_insert_with(|| Heard { at: Instant::now(), name, beat: Beat::default() });
+            heard.at = Instant::now();
+            // One that was taken in answers before it knows that it is of the fleet.
+            if candidate && !table.state.members.contains_key(&from.id) && !matches!(frame, Frame::Beat(_)) {
+                return true;
+            }
+        }
+        match frame {
+            Frame::Letters(letters) => {
+                let (own, strange): (Vec<Letter>, Vec<Letter>) =
+                    letters.into_iter().partition(|l| l.from == from.id);
+                if !strange.is_empty() {
+                    self.pass_over("not of its sender");
+                }
+                if !own.is_empty() {
+                    self.tell(Input::Letters(own));
+                }
+            }
+            Frame::Forward(proposal) if proposal.from == from.id => {
+                if self.table().state.is_complete() {
+                    self.tell(Input::Propose(proposal));
+                }
+            }
+            Frame::Wish(name, wish) => {
+                self.wishes(name, wish);
+                self.wake();
+            }
+            Frame::Marks(marks) => self.hear_marks(marks),
+            Frame::Beat(beat) => {
+                let differs = {
+                    let mut table = self.change();
+                    if let Some(heard) = table.heard.get_mut(&from.id) {
+                        heard.beat = beat;
+                    }
+                    !table.marks.is_empty() && beat.marks != table.marks.digest()
+                };
+                if differs && let Some(way) = self.way_to(from.id) {
+                    way.send(&Frame::Marks(self.table().marks.all()).bytes());
+                }
+            }
+            Frame::Hint(bytes) => drop(self.hints.0.try_send(bytes)),
+            Frame::Hello(_) | Frame::Verdict(..) | Frame::Forward(_) => {
+                self.pass_over("out of place");
+                return false;
+            }
+        }
+        true
+    }
+
+    fn hear_marks(&self, marks: Vec<(String, crate::store::agreed::Mark)>) {
+        let new = {
+            let mut table = self.change();
+            let Table { marks: own, state, .. } = &mut *table;
+            own.hear(marks, state, self.limits.marks)
+        };
+        if new {
+            self.wake();
+            self.save();
+            // Whoever the one that said it does not reach hears it from here.
+            self.spread(&Frame::Marks(self.table().marks.all()));
+            self.lead();
+        }
+    }
+
+    /// Tells the others' modules something.
+    pub fn hint(&self, bytes: Vec<u8>) {
+        self.spread(&Frame::Hint(bytes));
+    }
+
+    /// The next word of another daemon's module.
+    pub async fn hinted(&self) -> Option<Vec<u8>> {
+        self.hints.1.recv().await.ok()
+    }
+}
+
+fn describe(change: &Change, effect: Effect) -> String {
+    match change {
+        Change::Drain { host, .. } => format!("drain {host}: {effect:?}"),
+        Change::Undrain { host, .. } => format!("undrain {host}: {effect:?}"),
+        Change::Inventory { by, set, gone, .. } => {
+            format!("inventory of {by}, {} set, {} gone: {effect:?}", set.len(), gone.len())
+        }
+        Change::Settings { by, .. } => format!("settings of {by}: {effect:?}"),
+    }
+}
--- /dev/null
+++ b/src/fleet/frame.rs
@@ -0,0 +1,97 @@
+//! What goes between two daemons: frames with a length before them and a check sum inside.
+
+use super::forming::{Hello, Verdict};
+use super::members::Wish;
+use crate::store::agreed::Proposal;
+use crate::store::disk::Marks;
+use crate::store::form::{self, Letter, NodeId};
+use serde::{Deserialize, Serialize};
+
+/// A frame.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Frame {
+    /// The first one of whoever opened the connection.
+    Hello(Hello),
+    /// The answer to it, and the only one that comes back on this connection.
+    Verdict(Verdict, Hello),
+    /// Letters of the agreement.
+    Letters(Vec<Letter>),
+    /// A change for the leader to put into the log.
+    Forward(Proposal),
+    /// What an operator wants of a daemon of this name, for the leader.
+    Wish(String, Wish),
+    /// All drains that the sender holds and that are not agreed.
+    Marks(Marks),
+    /// How things stand with the sender.
+    Beat(Beat),
+    /// A hint for the module.
+    Hint(Vec<u8>),
+}
+
+/// A daemon's last word.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The leader that it knows.
+    pub leader: NodeId,
+    /// The term.
+    pub term: u64,
+    /// The last place of the log that it knows as agreed.
+    pub agreed: u64,
+    /// The last one that it has taken in, and the check sum there.
+    pub applied: (u64, u32),
+    /// Check sum of the drains that it holds and that are not agreed.
+    pub marks: u32,
+}
+
+impl Frame {
+    /// As it goes out.
+    pub fn bytes(&self) -> Vec<u8> {
+        let body = form::write(self);
+        let mut out = (body.len() as u32).to_be_bytes().to_vec();
+        out.extend(body);
+        out
+    }
+
+    /// The first frame of what came in, and its length there; `None`: it is not whole yet. An error: too long,
+    /// or out of form.
+    pub fn read(bytes: &[u8], most: usize) -> Result<Option<(Frame, usize)>, &'static str> {
+        let Some((length, rest)) = bytes.split_first_chunk::<4>() else { return Ok(None) };
+        let length = u32::from_be_bytes(*length) as usize;
+        if length > most {
+            return Err("too long");
+        }
+        let Some(body) = rest.get(..length) else { return Ok(None) };
+        form::read(body).map(|frame| Some((frame, length + 4))).ok_or("out of form")
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against frames that are cut off, too long or changed and are acted on, and against a panic.
+    #[test]
+    fn only_whole_frames_are_read() {
+        let frame = Frame::Beat(Beat { leader: 7, term: 3, agreed: 9, applied: (9, 77), marks: 0 });
+        let bytes = frame.bytes();
+        assert_eq!(Frame::read(&bytes, 1000), Ok(Some((frame, bytes.len()))));
+        for n in 0..bytes.len() {
+            assert_eq!(Frame::read(&bytes[..n], 1000), Ok(None), "{n} bytes");
+        }
+        assert_eq!(Frame::read(&bytes, bytes.len() - 5), Err("too long"));
+        let mut rng = fastrand::Rng::with_seed(1);
+        for _ in 0..20_000 {
+            let mut bytes = bytes.clone();
+            let at = rng.usize(4..bytes.len());
+            bytes[at] ^= 1 << rng.u8(..8);
+            assert_eq!(Frame::read(&bytes, 1000), Err("out of form"));
+            let noise: Vec<u8> = (0..rng.usize(..64)).map(|_| rng.u8(..)).collect();
+            let _ = Frame::read(&noise, 1000);
+            // A sound check sum over something that is no frame.
+            let mut sound = (noise.len() as u32 + 4).to_be_bytes().to_vec();
+            sound.extend(crc32fast::hash(&noise).to_be_bytes());
+            sound.extend(&noise);
+            let _ = Frame::read(&sound, 1000);
+        }
+    }
+}
--- a/src/net/http/client.rs
+++ b/src/net/http/client.rs
@@ -87,6 +87,43 @@
         Ok(false)
     }
 
+    /// Reads the answer to an upgrade: from here on the connection speaks something else.
+    pub async fn upgraded(&mut self, limits: &Limits) -> io::Result<()> {
+        loop {
+            if let Some((head, used)) = head(self.buffer.unread(), limits)? {
+                self.buffer.consume(used);
+                return if head.line[1] == "101" {
+                    Ok(())
+                } else {
+                    Err(io::Error::other(format!("status {}", head.line[1])))
+                };
+            }
+            if self.more().await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+
+    /// What came and was not used.
+    pub fn unread(&self) -> &[u8] {
+        self.buffer.unread()
+    }
+
+    /// Uses so many bytes of it.
+    pub fn consume(&mut self, n: usize) {
+        self.buffer.consume(n);
+    }
+
+    /// Reads once more; 0 at the end of the stream.
+    pub async fn more(&mut self) -> io::Result<usize> {
+        self.buffer.fill(&self.stream).await
+    }
+
+    /// Reads once into another buffer; 0 at the end of the stream.
+    pub async fn more_of(&self, into: &mut Buffer) -> io::Result<usize> {
+        into.fill(&self.stream).await
+    }
+
     /// Sends a request and reads the whole answer; the second value: the connection may be used again.
     pub async fn call(&mut self, request: &[u8], limits: &Limits) -> io::Result<(Head, Vec<u8>, bool)> {
         self.send(request).await?;
--- a/src/store/owner.rs
+++ b/src/store/owner.rs
@@ -134,9 +134,17 @@
     let (inputs, queue) = async_channel::bounded(limits.queue);
     // The sockets' thread takes what comes as it comes, and drops what it cannot send.
     let (out, outputs) = async_channel::unbounded();
-    let identity = disk.identity.clone();
     let Held { image, marks, witnesses, legacy, .. } = held;
-    let replica = Replica::new(identity.id, image)?;
+    let (disk, replica) = match Replica::new(disk.identity.id, image) {
+        Ok(replica) => (disk, replica),
+        Err(e) => {
+            log::warn!("store: {e}; set aside, this daemon is a new one");
+            let disk = disk.renounce("damaged")?;
+            let replica = Replica::new(disk.identity.id, Image::default())?;
+            (disk, replica)
+        }
+    };
+    let identity = disk.identity.clone();
     let part = !replica.conf().voters.contains(&identity.id);
     let mut owner = Owner {
         disk: Some(disk),
