Prove the fleet with a rig of processes, relays, stand-in hosts and a checker

lab/ starts the program, stands on every link between daemons and before hosts and fronts, plays scripts by seed and reads logs and arrivals afterwards; each check is tested with a wrong history.

--- /dev/null
+++ b/lab/src/check.rs
@@ -0,0 +1,207 @@
+//! Reads histories afterwards and says what is wrong with them. Each check is itself tested with a history that is
+//! wrong.
+
+use crate::client::Asked;
+use crate::host::Arrival;
+use std::collections::BTreeMap;
+
+/// Clocks of one machine, threads that wake late.
+const SLACK: i64 = 30_000;
+
+/// A daemon's log: its lines, in order, of one process after another.
+pub type Log = Vec<String>;
+
+fn at(line: &str) -> Option<i64> {
+    let (seconds, millis) = line.split(' ').next()?.split_once('.')?;
+    Some(seconds.parse::<i64>().ok()? * 1_000_000 + millis.parse::<i64>().ok()? * 1000)
+}
+
+fn number_after(line: &str, words: &str) -> Option<u64> {
+    line.split(words).nth(1)?.split(|c: char| !c.is_ascii_digit()).next()?.parse().ok()
+}
+
+/// All daemons took in the same changes in the same order, and none that no majority held. `voters`: how many
+/// there are; 0 where that changes and is not checked.
+pub fn agreement(logs: &[Log], voters: usize) -> Result<usize, String> {
+    let mut known: BTreeMap<u64, (String, usize)> = BTreeMap::new();
+    let mut holds: Vec<Vec<(i64, u64)>> = Vec::new();
+    for (daemon, log) in logs.iter().enumerate() {
+        let mut last = 0;
+        let mut held = Vec::new();
+        for line in log {
+            if line.contains(": store at http://") {
+                last = 0;
+            }
+            if let (Some(at), Some(index)) = (at(line), number_after(line, "store: holds ")) {
+                held.push((at, index));
+            }
+            let Some(rest) = line.split("fleet: agreed ").nth(1) else { continue };
+            let Some((index, rest)) = rest.split_once(' ') else { continue };
+            let index: u64 = index.parse().map_err(|_| format!("out of form: {line}"))?;
+            if index <= last {
+                return Err(format!("daemon {daemon} took in {index} after {last}"));
+            }
+            last = index;
+            let (first, by) = known.entry(index).or_insert((rest.to_string(), daemon));
+            if first != rest {
+                return Err(format!("at {index} daemon {by} has {first:?}, daemon {daemon} {rest:?}"));
+            }
+        }
+        holds.push(held);
+    }
+    for (daemon, log) in logs.iter().enumerate().filter(|_| voters > 0) {
+        for line in log.iter().filter(|l| l.contains("fleet: agreed ")) {
+            let (Some(at), Some(index)) = (at(line), number_after(line, "fleet: agreed ")) else { continue };
+            // Times of different processes are told in whole milliseconds.
+            let had = |held: &&Vec<(i64, u64)>| held.iter().any(|(t, i)| *i >= index && *t <= at + 2_000);
+            if holds.iter().filter(had).count() * 2 <= voters {
+                return Err(format!("daemon {daemon} took in {index} that no majority had"));
+            }
+        }
+    }
+    Ok(known.len())
+}
+
+/// No read got data that is older than it had to be.
+pub fn fresh(asked: &[Asked]) -> Result<usize, String> {
+    let mut reads = 0;
+    for one in asked.iter().filter(|a| !a.write && a.status == 200) {
+        let (Some(needs), Some(got)) = (one.needs, one.got) else { continue };
+        if got < needs {
+            return Err(format!("request {} needed {needs} and got {got}", one.request));
+        }
+        reads += 1;
+    }
+    Ok(reads)
+}
+
+/// Every request has one answer, in time, unless its daemon was down; `down`: daemons with when they were killed
+/// or stood still, and until when.
+pub fn answered(asked: &[Asked], down: &[(usize, i64, i64)], patience: i64) -> Result<usize, String> {
+    for one in asked {
+        let excused = down.iter().any(|(n, from, to)| {
+            *n == one.daemon && one.sent < to.saturating_add(SLACK) && one.until > from - SLACK
+        });
+        if one.status == 0 && !excused {
+            return Err(format!("request {} to daemon {} has no answer", one.request, one.daemon));
+        }
+        if one.until - one.sent > patience + SLACK && !excused {
+            return Err(format!("request {} waited {} ms", one.request, (one.until - one.sent) / 1000));
+        }
+    }
+    Ok(asked.len())
+}
+
+/// No two attempts of a request are at hosts at once, and no write without a key has run twice.
+pub fn one_attempt(arrivals: &[Arrival]) -> Result<usize, String> {
+    let mut by: BTreeMap<u64, Vec<&Arrival>> = BTreeMap::new();
+    for one in arrivals.iter().filter(|a| a.request > 0) {
+        by.entry(one.request).or_default().push(one);
+    }
+    for (request, all) in &mut by {
+        all.sort_by_key(|a| a.at);
+        for pair in all.windows(2) {
+            if pair[1].at < pair[0].until - SLACK {
+                return Err(format!(
+                    "request {request} was at {} and {} at once",
+                    pair[0].host, pair[1].host
+                ));
+            }
+        }
+        // What was turned away untouched took no time.
+        if all.iter().filter(|a| a.write && a.until > a.at).count() > 1 {
+            return Err(format!("the write {request} has run twice"));
+        }
+    }
+    Ok(by.len())
+}
+
+/// Nothing new reached a drained host; `drained`: the host with the time by which all had to know, and the time at
+/// which the drain was undone again.
+pub fn drained(arrivals: &[Arrival], drained: &[(String, i64, i64)]) -> Result<(), String> {
+    for (host, from, to) in drained {
+        if let Some(late) = arrivals.iter().find(|a| a.host == *host && a.at > from + SLACK && a.at < *to) {
+            return Err(format!(
+                "{host} was sent request {} {} ms late",
+                late.request,
+                (late.at - from) / 1000
+            ));
+        }
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn asked(status: u16, write: bool, needs: i64, got: i64) -> Asked {
+        let (needs, got) = (Some(needs), Some(got));
+        Asked { request: 1, daemon: 0, due: 0, sent: 0, until: 5_000, status, write, needs, got }
+    }
+
+    fn arrival(host: &str, request: u64, at: i64, until: i64) -> Arrival {
+        Arrival { host: host.into(), request, at, until, write: true, served: true }
+    }
+
+    #[test]
+    fn a_stale_read_is_seen() {
+        assert!(
+            fresh(&[asked(200, false, 10, 10), asked(503, false, 10, 3), asked(200, true, 10, 3)]).is_ok()
+        );
+        assert!(fresh(&[asked(200, false, 10, 9)]).is_err());
+    }
+
+    #[test]
+    fn a_missing_or_late_answer_is_seen_unless_the_daemon_was_down() {
+        assert!(answered(&[asked(503, false, 0, 0)], &[], 2_000_000).is_ok());
+        assert!(answered(&[asked(0, false, 0, 0)], &[], 2_000_000).is_err());
+        assert!(answered(&[asked(0, false, 0, 0)], &[(0, -50_000, 1)], 2_000_000).is_ok());
+        assert!(answered(&[asked(0, false, 0, 0)], &[(1, -50_000, 1)], 2_000_000).is_err());
+        let late = Asked { until: 3_000_000, ..asked(200, false, 0, 0) };
+        assert!(answered(&[late], &[], 2_000_000).is_err());
+    }
+
+    #[test]
+    fn two_attempts_at_once_and_a_write_that_ran_twice_are_seen() {
+        let after = [arrival("a", 1, 0, 100_000), arrival("b", 2, 0, 100_000)];
+        assert_eq!(one_attempt(&after), Ok(2));
+        assert!(one_attempt(&[arrival("a", 1, 0, 100_000), arrival("b", 1, 20_000, 30_000)]).is_err());
+        assert!(one_attempt(&[arrival("a", 1, 0, 100_000), arrival("b", 1, 200_000, 300_000)]).is_err());
+        // The first one was no primary.
+        assert!(one_attempt(&[arrival("a", 1, 0, 0), arrival("b", 1, 200_000, 300_000)]).is_ok());
+    }
+
+    #[test]
+    fn an_arrival_at_a_drained_host_is_seen() {
+        let all = [arrival("a", 1, 300_000, 300_000), arrival("b", 2, 900_000, 900_000)];
+        assert!(drained(&all, &[("a".into(), 290_000, i64::MAX)]).is_ok());
+        assert!(drained(&all, &[("a".into(), 250_000, i64::MAX)]).is_err());
+        assert!(drained(&all, &[("b".into(), 250_000, 800_000)]).is_ok());
+    }
+
+    fn log(lines: &[&str]) -> Log {
+        lines.iter().map(|l| l.to_string()).collect()
+    }
+
+    #[test]
+    fn sequences_that_differ_go_back_or_lack_a_majority_are_seen() {
+        let a =
+            log(&["1.000 DEBUG store: holds 5 of term 2", "1.002 DEBUG fleet: agreed 5 ab: drain x: Done"]);
+        let b =
+            log(&["1.001 DEBUG store: holds 5 of term 2", "1.003 DEBUG fleet: agreed 5 ab: drain x: Done"]);
+        assert_eq!(agreement(&[a.clone(), b.clone(), log(&[])], 3), Ok(1));
+        assert!(agreement(&[a.clone(), log(&[]), log(&[])], 3).is_err(), "only one had it");
+        let late = log(&["1.009 DEBUG store: holds 5 of term 2"]);
+        assert!(agreement(&[a.clone(), late, log(&[])], 3).is_err(), "the second had it later");
+        let other = log(&["1.003 DEBUG fleet: agreed 5 ac: drain y: Done"]);
+        assert!(agreement(&[a.clone(), other], 0).is_err());
+        let again = log(&[
+            "1.003 DEBUG fleet: agreed 5 ab: drain x: Done",
+            "1.004 DEBUG fleet: agreed 5 ab: drain x: Done",
+        ]);
+        assert!(agreement(std::slice::from_ref(&again), 0).is_err());
+        let restarted = log(&[&again[0], "1.004 INFO b: store at http://1", &again[1]]);
+        assert!(agreement(&[restarted], 0).is_ok());
+    }
+}
--- /dev/null
+++ b/lab/src/client.rs
@@ -0,0 +1,145 @@
+//! Clients with an open-loop load: each request goes out when its time has come, whatever became of those before.
+
+use crate::http::Connection;
+use crate::now;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// What a client asked, and what it got.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Asked {
+    /// Its number.
+    pub request: u64,
+    /// The daemon that was asked.
+    pub daemon: usize,
+    /// When it was due, in Unix microseconds; it never went out before.
+    pub due: i64,
+    /// When it went out.
+    pub sent: i64,
+    /// When its answer had come, or had not.
+    pub until: i64,
+    /// The status; 0: no answer came on the connection.
+    pub status: u16,
+    /// It wrote.
+    pub write: bool,
+    /// The position that its answer had to reach, in Unix milliseconds.
+    pub needs: Option<i64>,
+    /// The position of the data that it got.
+    pub got: Option<i64>,
+}
+
+/// The load.
+pub struct Load {
+    stop: Arc<AtomicBool>,
+    asked: Arc<Mutex<Vec<Asked>>>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// What to ask.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Requests a second, of all clients together.
+    pub rate: f64,
+    /// Clients; each has a connection and a session of its own.
+    pub clients: usize,
+    /// Groups that are asked.
+    pub groups: u32,
+    /// Of ten requests so many write; of the others every second one reads what its session wrote.
+    pub writes: u8,
+    /// A bounded read may be so old, in milliseconds.
+    pub age: i64,
+    /// For the clients' choices.
+    pub seed: u64,
+}
+
+static NUMBERS: AtomicU64 = AtomicU64::new(1);
+
+impl Load {
+    /// Begins to ask the daemons at these addresses.
+    pub fn start(fronts: &[SocketAddr], plan: Plan) -> Load {
+        let (stop, asked) = (Arc::new(AtomicBool::new(false)), Arc::default());
+        let gap = Duration::from_secs_f64(plan.clients as f64 / plan.rate);
+        let threads = (0..plan.clients).map(|n| {
+            let (stop, asked, fronts) = (stop.clone(), Arc::clone(&asked), fronts.to_vec());
+            thread::spawn(move || client(n, &fronts, plan, gap, &stop, &asked))
+        });
+        Load { threads: threads.collect(), stop, asked }
+    }
+
+    /// Stops, and hands out all that was asked.
+    pub fn end(self) -> Vec<Asked> {
+        self.stop.store(true, Ordering::SeqCst);
+        self.threads.into_iter().for_each(|t| t.join().expect("a client"));
+        let mut asked = std::mem::take(&mut *self.asked.lock().expect("the record"));
+        asked.sort_by_key(|a| a.sent);
+        asked
+    }
+
+    /// Requests that have their answer by now.
+    pub fn count(&self) -> usize {
+        self.asked.lock().expect("the record").len()
+    }
+}
+
+fn client(
+    n: usize,
+    fronts: &[SocketAddr],
+    plan: Plan,
+    gap: Duration,
+    stop: &AtomicBool,
+    asked: &Mutex<Vec<Asked>>,
+) {
+    let mut rng = fastrand::Rng::with_seed(plan.seed.wrapping_mul(1000).wrapping_add(n as u64));
+    let daemon = n % fronts.len();
+    let mut connection: Option<Connection> = None;
+    let mut commits = vec![None; plan.groups as usize + 1];
+    let mut due = Instant::now() + gap.mul_f64(rng.f64());
+    while !stop.load(Ordering::SeqCst) {
+        thread::sleep(due.saturating_duration_since(Instant::now()).min(Duration::from_millis(50)));
+        if Instant::now() < due {
+            continue;
+        }
+        let late = due.elapsed().as_micros() as i64;
+        due += gap;
+        let request = NUMBERS.fetch_add(1, Ordering::Relaxed);
+        let group = rng.u32(1..=plan.groups);
+        let write = rng.u8(..10) < plan.writes;
+        let commit = commits[group as usize].filter(|_| !write && rng.bool());
+        let own = commit.map_or(String::new(), |c: i64| format!("Brookpass-Position: {c}\r\n"));
+        let common = format!(
+            "Host: lab\r\nBrookpass-Group: {group}\r\nBrookpass-Session: c{n}\r\nBrookpass-Time-Left-Ms: 2000\r\n{own}"
+        );
+        let text = if write {
+            let body = format!("INSERT r#{request}");
+            format!(
+                "POST /sparql HTTP/1.1\r\n{common}Content-Type: application/sparql-update\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            )
+        } else {
+            format!("GET /sparql?query=SELECT%20r%23{request} HTTP/1.1\r\n{common}\r\n")
+        };
+        let sent = now();
+        let needs = match commit {
+            _ if write => None,
+            Some(commit) => Some(commit),
+            None => Some(sent / 1000 - plan.age),
+        };
+        let mut open = connection.take().or_else(|| Connection::open(fronts[daemon], Duration::from_secs(4)));
+        let answer = open.as_mut().and_then(|c| c.call(&text));
+        if answer.is_some() {
+            connection = open;
+        }
+        let status = answer.as_ref().map_or(0, crate::http::Message::status);
+        let served = answer.as_ref().filter(|_| status == 200);
+        let got = served.and_then(|a| a.text().trim().parse().ok());
+        if write && let Some(position) = served.and_then(|a| a.number("brookpass-position")) {
+            commits[group as usize] = Some(position);
+        }
+        let until = now();
+        let one = Asked { request, daemon, due: sent - late, sent, until, status, write, needs, got };
+        asked.lock().expect("the record").push(one);
+    }
+}
--- /dev/null
+++ b/lab/src/http.rs
@@ -0,0 +1,87 @@
+//! As much of HTTP/1.1 as clients, hosts and the checker need.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// A message.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    /// Its first line.
+    pub first: String,
+    /// Its headers, in small letters.
+    pub headers: BTreeMap<String, String>,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    /// A header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).map(String::as_str)
+    }
+
+    /// A header that is a number.
+    pub fn number(&self, name: &str) -> Option<i64> {
+        self.header(name)?.parse().ok()
+    }
+
+    /// The status of an answer; 0: none.
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+
+    /// The body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// Reads one message; `None` at the end of the stream, or where it broke.
+pub fn read(reader: &mut impl BufRead) -> Option<Message> {
+    let mut line = || {
+        let mut text = String::new();
+        reader.read_line(&mut text).ok().filter(|n| *n > 0).map(|_| text.trim_end().to_string())
+    };
+    let mut message = Message { first: line()?, ..Message::default() };
+    loop {
+        let text = line()?;
+        if text.is_empty() {
+            break;
+        }
+        let (name, value) = text.split_once(':')?;
+        message.headers.insert(name.to_ascii_lowercase(), value.trim().to_string());
+    }
+    let length = message.number("content-length").unwrap_or(0).clamp(0, 64 << 20);
+    message.body = vec![0; length as usize];
+    reader.read_exact(&mut message.body).ok()?;
+    Some(message)
+}
+
+/// A connection to a server.
+pub struct Connection {
+    reader: BufReader<TcpStream>,
+}
+
+impl Connection {
+    /// Opens one, with a time for each read.
+    pub fn open(at: SocketAddr, patience: Duration) -> Option<Connection> {
+        let stream = TcpStream::connect_timeout(&at, Duration::from_secs(2)).ok()?;
+        stream.set_nodelay(true).ok()?;
+        stream.set_read_timeout(Some(patience)).ok()?;
+        Some(Connection { reader: BufReader::new(stream) })
+    }
+
+    /// One exchange.
+    pub fn call(&mut self, request: &str) -> Option<Message> {
+        self.reader.get_mut().write_all(request.as_bytes()).ok()?;
+        read(&mut self.reader)
+    }
+}
+
+/// One call on a connection of its own.
+pub fn call(at: SocketAddr, method: &str, path: &str) -> Option<Message> {
+    let mut connection = Connection::open(at, Duration::from_secs(10))?;
+    connection.call(&format!("{method} {path} HTTP/1.1\r\nHost: lab\r\nContent-Length: 0\r\n\r\n"))
+}
--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,33 @@
+//! The rig: several real processes of the program, a relay on every link between them, stand-in hosts that hold a
+//! model of their data, clients that write down what they asked and got, and a checker that reads the histories
+//! afterwards. docs/lab.md tells how to use it.
+
+pub mod check;
+pub mod client;
+pub mod fleet;
+pub mod host;
+pub mod http;
+pub mod process;
+pub mod relay;
+pub mod script;
+
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Nothing in a test takes so long; a wait that does has failed.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Unix time in microseconds.
+pub fn now() -> i64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as i64
+}
+
+/// Waits until a condition holds that others bring about; how long it took.
+pub fn eventually(what: &str, mut holds: impl FnMut() -> bool) -> Duration {
+    let began = Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < PATIENCE, "not in time: {what}");
+        thread::sleep(Duration::from_millis(2));
+    }
+    began.elapsed()
+}
--- /dev/null
+++ b/lab/src/script.rs
@@ -0,0 +1,113 @@
+//! Faults as data: what happens when. A script comes from a seed, or is written by hand.
+
+/// What happens.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    /// A daemon is killed.
+    Kill(usize),
+    /// It starts again.
+    Start(usize),
+    /// It starts again without its disk.
+    StartAnew(usize),
+    /// It stands still.
+    Stop(usize),
+    /// It goes on.
+    Continue(usize),
+    /// Only daemons of the same part hear one another.
+    Split(Vec<Vec<usize>>),
+    /// What the first says does not reach the second.
+    CutOneWay(usize, usize),
+    /// The link between two is so late, in milliseconds, and loses so many of a hundred frames.
+    Weather(usize, usize, u64, u8),
+    /// All connections of a link are reset.
+    Reset(usize, usize),
+    /// All links are sound again.
+    Heal,
+    /// An operator drains a host at a daemon.
+    Drain(usize, String),
+    /// An operator ends that.
+    Undrain(usize, String),
+}
+
+/// What happens, each with its time in milliseconds from the start.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Script(pub Vec<(u64, Act)>);
+
+impl Script {
+    /// Faults by seed, over so many milliseconds: what was broken is whole again at the end. No more daemons are
+    /// down or stand still at once than leave a majority, but links are cut at will.
+    pub fn random(seed: u64, daemons: usize, hosts: &[String], length: u64) -> Script {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let (mut acts, mut at) = (Vec::new(), 0);
+        let mut down: Vec<(usize, bool)> = Vec::new();
+        let most = (daemons - 1) / 2;
+        while at < length {
+            at += rng.u64(30..250);
+            let (a, b) = (rng.usize(..daemons), rng.usize(..daemons));
+            let host = hosts[rng.usize(..hosts.len())].clone();
+            let is_down = |n: usize, down: &[(usize, bool)]| down.iter().any(|(d, _)| *d == n);
+            let act = match rng.u8(..20) {
+                0 | 1 if down.len() < most && !is_down(a, &down) => {
+                    down.push((a, true));
+                    Act::Kill(a)
+                }
+                2 if down.len() < most && !is_down(a, &down) => {
+                    down.push((a, false));
+                    Act::Stop(a)
+                }
+                3..=5 if !down.is_empty() => match down.swap_remove(rng.usize(..down.len())) {
+                    (n, true) => Act::Start(n),
+                    (n, false) => Act::Continue(n),
+                },
+                6 => {
+                    let mut all: Vec<usize> = (0..daemons).collect();
+                    rng.shuffle(&mut all);
+                    let cut = rng.usize(1..daemons);
+                    Act::Split(vec![all[..cut].to_vec(), all[cut..].to_vec()])
+                }
+                7 if a != b => Act::CutOneWay(a, b),
+                8 if a != b => Act::Weather(a, b, rng.u64(..200), rng.u8(..30)),
+                9 if a != b => Act::Reset(a, b),
+                10 | 11 => Act::Heal,
+                12..=15 if !is_down(a, &down) => Act::Drain(a, host),
+                16 | 17 if !is_down(a, &down) => Act::Undrain(a, host),
+                _ => continue,
+            };
+            acts.push((at, act));
+        }
+        acts.push((length, Act::Heal));
+        for (n, killed) in down {
+            acts.push((length, if killed { Act::Start(n) } else { Act::Continue(n) }));
+        }
+        Script(acts)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against scripts that prove nothing: each leaves a majority of processes and ends with all of them.
+    #[test]
+    fn random_scripts_are_alike_for_a_seed_and_end_whole() {
+        let hosts = ["x".to_string(), "y".to_string()];
+        let mut kinds = std::collections::HashSet::new();
+        for seed in 0..300 {
+            let script = Script::random(seed, 5, &hosts, 4_000);
+            assert_eq!(script, Script::random(seed, 5, &hosts, 4_000));
+            let mut down = Vec::new();
+            for (_, act) in &script.0 {
+                match act {
+                    Act::Kill(n) | Act::Stop(n) => down.push(*n),
+                    Act::Start(n) | Act::Continue(n) => down.retain(|d| d != n),
+                    Act::Drain(n, _) | Act::Undrain(n, _) => assert!(!down.contains(n)),
+                    _ => {}
+                }
+                assert!(down.len() <= 2, "seed {seed}");
+                kinds.insert(std::mem::discriminant(act));
+            }
+            assert!(down.is_empty(), "seed {seed}");
+        }
+        assert!(kinds.len() >= 10);
+    }
+}
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -3,8 +3,8 @@
 //! Positions on the sockets are Unix times, so the driver's clock is one too and the settings' zero is 0.
 
 use crate::interface::Micros;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicI64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Unix time that runs ahead of the monotonic clock by more than this has been set, or the machine slept.
@@ -19,8 +19,16 @@
     ahead: Arc<AtomicI64>,
 }
 
+/// Names how far the system's clock is taken to be off, in milliseconds: for tests of daemons whose clocks differ.
+const OFFSET: &str = "BROOKPASS_CLOCK_OFFSET_MS";
+
 fn wall() -> Micros {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros
+    static OFF: OnceLock<Micros> = OnceLock::new();
+    let off = OFF.get_or_init(|| {
+        let stated = std::env::var(OFFSET).ok().and_then(|ms| ms.parse::<i32>().ok());
+        Micros::from(stated.unwrap_or(0)) * 1000
+    });
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros + off
 }
 
 impl Clock {
--- a/src/daemon/operator.rs
+++ b/src/daemon/operator.rs
@@ -104,6 +104,20 @@
     }
 }
 
+/// Waits until this daemon has taken in what the others have agreed on, or for as long as a list may be late: what
+/// was drained while it was down must not be sent anything.
+async fn catch_up(fleet: &Fleet, limits: &Limits) {
+    let changed = fleet.watch();
+    let wait = async {
+        while !fleet.is_current() {
+            let _ = changed.recv().await;
+        }
+    };
+    if until(Instant::now() + limits.discovery * 2, wait).await.is_none() {
+        log::warn!("fleet: no majority is known; serving with what was last agreed");
+    }
+}
+
 /// Serves until SIGTERM.
 pub async fn serve(operator: Operator, executor: Executor) -> Result<(), String> {
     // First of all: without a handler this signal would end the program, which may wait for a peer below.
@@ -153,6 +167,7 @@
         executor.spawn(async move { goes.go_on().await }).detach();
     }
     let text = settings(&fleet, &limits).await;
+    catch_up(&fleet, &limits).await;
     let (mut settings, names, all) = file::read_settings(&text, operator.number)?;
     let seconds = |key: &str| all.get(key).and_then(|v| v.parse::<f64>().ok());
     limits.hosts_idle_for(seconds("limits.conn-idle"));
--- a/src/fleet/api.rs
+++ b/src/fleet/api.rs
@@ -106,7 +106,7 @@
         _ if table.broken.is_some() => "broken",
         _ if table.removed => "removed",
         _ if table.state.fleet == 0 => "none",
-        _ if table.status.leader == me => "leader",
+        _ if table.status.leader == me => "leads",
         _ if table.status.conf.voters.contains(&me) => "voter",
         _ => "follower",
     }
--- a/src/fleet/driver.rs
+++ b/src/fleet/driver.rs
@@ -4,7 +4,7 @@
 use super::forming::{self, Hello, Stand, Verdict};
 use super::frame::{Beat, Frame};
 use super::marks::Marks;
-use super::members::{Next, View, Wish};
+use super::members::{Next, View, Wish, Word};
 use super::way::{PATH, PROTOCOL, Way, may_meet};
 use crate::clock::Clock;
 use crate::config::Limits;
@@ -57,6 +57,8 @@
     pub name: String,
     /// Its last word.
     pub beat: Beat,
+    /// Since when it has known no leader.
+    pub leaderless: Option<Instant>,
 }
 
 /// All that the driver knows.
@@ -241,6 +243,17 @@
         Some(table.state.listing(table.applied, |host| table.marks.drains(host)))
     }
 
+    /// Whether somebody leads, and all is taken in that anybody said to be agreed.
+    pub fn is_current(&self) -> bool {
+        let table = self.table();
+        let told = table.heard.values().map(|h| h.beat.agreed).max().unwrap_or(0).max(table.status.agreed);
+        let led = table.status.leader != 0 && table.status.part;
+        // The leader's own word: one that leads no more is not heard as the leader.
+        let leader = table.status.leader == table.identity.id
+            || table.heard.get(&table.status.leader).is_some_and(|h| h.beat.term == table.status.term);
+        table.removed || table.broken.is_some() || led && leader && table.applied >= told
+    }
+
     /// The agreed settings.
     pub fn settings(&self) -> Option<String> {
         self.table().state.settings.as_ref().map(|(_, text)| text.clone())
@@ -272,9 +285,17 @@
             agreed: table.status.agreed,
             applied: (table.applied, table.state.digest),
             marks: table.marks.digest(),
+            hears: self.hears(&table),
         })
     }
 
+    /// Daemons that were heard within the last moment.
+    fn hears(&self, table: &Table) -> Vec<NodeId> {
+        let recent = |h: &&Heard| h.at.elapsed() < self.limits.beat * 3;
+        let all = table.heard.iter().filter(|(_, h)| recent(h)).map(|(id, _)| *id);
+        all.take(self.limits.members).collect()
+    }
+
     fn tell(&self, input: Input) {
         // Full: the disk is slow, and what was said here is said again. Letters are lost as on any way.
         if self.inputs.try_send(input).is_err() {
@@ -701,6 +722,11 @@
             let silent =
                 table.heard.iter().map(|(id, h)| (*id, (now - h.at).as_micros() as Micros)).collect();
             let wishes = table.wishes.keys().cloned().collect();
+            let word = |h: &Heard| Word {
+                leaderless: h.leaderless.map_or(0, |at| (now - at).as_micros() as Micros),
+                hears: h.beat.hears.iter().copied().collect(),
+            };
+            let words = table.heard.iter().map(|(id, h)| (*id, word(h))).collect();
             let view = View {
                 me,
                 state: &table.state,
@@ -709,6 +735,7 @@
                 progress: &table.status.progress,
                 candidates: &candidates,
                 silent: &silent,
+                words: &words,
                 wishes: &wishes,
                 gone: self.limits.gone.as_micros() as Micros,
             };
@@ -810,6 +837,7 @@
             at: Instant::now(),
             name: other.name.clone(),
             beat: Beat::default(),
+            leaderless: None,
         });
         if fleet == 0 {
             table.met.insert(way.address, other.clone());
@@ -970,7 +998,12 @@
             }
             let name = from.name.clone();
             let heard = table.heard.entry(from.id);
-            let heard = heard.or_insert_with(|| Heard { at: Instant::now(), name, beat: Beat::default() });
+            let heard = heard.or_insert_with(|| Heard {
+                at: Instant::now(),
+                name,
+                beat: Beat::default(),
+                leaderless: None,
+            });
             heard.at = Instant::now();
             // One that was taken in answers before it knows that it is of the fleet.
             if candidate && !table.state.members.contains_key(&from.id) && !matches!(frame, Frame::Beat(_)) {
@@ -1001,10 +1034,13 @@
             Frame::Beat(beat) => {
                 let differs = {
                     let mut table = self.change();
+                    let marks = beat.marks;
                     if let Some(heard) = table.heard.get_mut(&from.id) {
+                        heard.leaderless =
+                            (beat.leader == 0).then(|| heard.leaderless.unwrap_or_else(Instant::now));
                         heard.beat = beat;
                     }
-                    !table.marks.is_empty() && beat.marks != table.marks.digest()
+                    !table.marks.is_empty() && marks != table.marks.digest()
                 };
                 if differs && let Some(way) = self.way_to(from.id) {
                     way.send(&Frame::Marks(self.table().marks.all()).bytes());
--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -29,7 +29,7 @@
 }
 
 /// A daemon's last word.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beat {
     /// The leader that it knows.
     pub leader: NodeId,
@@ -41,6 +41,8 @@
     pub applied: (u64, u32),
     /// Check sum of the drains that it holds and that are not agreed.
     pub marks: u32,
+    /// Daemons that it has heard within the last moment.
+    pub hears: Vec<NodeId>,
 }
 
 impl Frame {
@@ -72,7 +74,8 @@
     /// Guards against frames that are cut off, too long or changed and are acted on, and against a panic.
     #[test]
     fn only_whole_frames_are_read() {
-        let frame = Frame::Beat(Beat { leader: 7, term: 3, agreed: 9, applied: (9, 77), marks: 0 });
+        let frame =
+            Frame::Beat(Beat { leader: 7, term: 3, agreed: 9, applied: (9, 77), marks: 0, hears: vec![5] });
         let bytes = frame.bytes();
         assert_eq!(Frame::read(&bytes, 1000), Ok(Some((frame, bytes.len()))));
         for n in 0..bytes.len() {
--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -19,6 +19,15 @@
     Leave,
 }
 
+/// What a voter says of the leader and of whom it hears.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Word {
+    /// It has known no leader for so long.
+    pub leaderless: Micros,
+    /// Whom it hears.
+    pub hears: BTreeSet<NodeId>,
+}
+
 /// All that the leader knows.
 pub struct View<'a> {
     /// The leader.
@@ -35,6 +44,8 @@
     pub candidates: &'a BTreeMap<NodeId, Hello>,
     /// How long ago each member was last heard.
     pub silent: &'a BTreeMap<NodeId, Micros>,
+    /// What each voter that is heard says.
+    pub words: &'a BTreeMap<NodeId, Word>,
     /// What operators want, by name.
     pub wishes: &'a BTreeSet<(String, Wish)>,
     /// Silent for so long, a member counts as gone.
@@ -129,11 +140,41 @@
         Next::Nothing
     }
 
+    /// One to lead instead: where a voter that is there has not heard this leader for long, it would never learn
+    /// what is agreed. Whoever leads next is heard by more of the voters than this one.
+    fn yields(&self) -> Option<NodeId> {
+        let there = |id: &&NodeId| **id != self.me && self.words.contains_key(id) && !self.is_gone(**id);
+        let voters: Vec<&NodeId> = self.conf.voters.iter().filter(there).collect();
+        let deaf = |id: &&&NodeId| self.words[**id].leaderless >= self.gone;
+        if !voters.iter().any(|id| deaf(&id)) {
+            return None;
+        }
+        let hearers = |leader: NodeId| {
+            let hears = |id: &&&NodeId| {
+                ***id != leader
+                    && self.words[**id].hears.contains(&leader)
+                    && !(leader == self.me && deaf(id))
+            };
+            voters.iter().filter(hears).count()
+        };
+        // The one that goes now hears its heir as well, or it would be the next to learn nothing.
+        let own = hearers(self.me);
+        let heirs = voters.iter().filter(|id| self.caught_up(***id) && !deaf(id));
+        heirs
+            .map(|id| (hearers(**id) + 1, std::cmp::Reverse(**id)))
+            .filter(|(n, _)| *n > own)
+            .max()
+            .map(|(_, id)| id.0)
+    }
+
     /// The next step.
     pub fn next(&self) -> Next {
         if !self.conf.voters_outgoing.is_empty() {
             return Next::Nothing;
         }
+        if let Some(heir) = self.yields() {
+            return Next::Transfer(heir);
+        }
         match self.rises().or_else(|| self.comes()) {
             Some(change) => Next::Propose(change),
             None => self.goes(),
@@ -153,6 +194,7 @@
         progress: Vec<Progress>,
         candidates: BTreeMap<NodeId, Hello>,
         silent: BTreeMap<NodeId, Micros>,
+        words: BTreeMap<NodeId, Word>,
         wishes: BTreeSet<(String, Wish)>,
     }
 
@@ -169,6 +211,7 @@
                 progress: vec![Progress { id: 1, matched: 100, active: true }],
                 candidates: BTreeMap::new(),
                 silent: BTreeMap::new(),
+                words: BTreeMap::new(),
                 wishes: BTreeSet::new(),
             }
         }
@@ -181,8 +224,9 @@
         }
 
         fn next(&self) -> Next {
-            let Paper { state, conf, progress, candidates, silent, wishes } = self;
-            View { me: 1, state, conf, agreed: 100, progress, candidates, silent, wishes, gone: 2_000 }.next()
+            let Paper { state, conf, progress, candidates, silent, words, wishes } = self;
+            View { me: 1, state, conf, agreed: 100, progress, candidates, silent, words, wishes, gone: 2_000 }
+                .next()
         }
 
         /// Carries steps out until there is nothing to do; the voters after each.
@@ -263,4 +307,31 @@
         paper.conf.voters_outgoing = vec![1];
         assert_eq!(paper.next(), Next::Nothing);
     }
+
+    /// Guards against a daemon that hears everybody but the leader and learns nothing for ever, and against a lead
+    /// that goes round and round.
+    #[test]
+    fn a_leader_that_some_do_not_hear_hands_the_lead_to_one_that_all_hear() {
+        let mut paper = Paper::new(&["b", "c", "d", "e"]);
+        for (id, name) in [(2, "b"), (3, "c"), (4, "d"), (5, "e")] {
+            paper.meet(id, name);
+        }
+        paper.run();
+        let word = |me: NodeId, leaderless, lacks: &[NodeId]| {
+            let hears = (1..=5).filter(|id| *id != me && !lacks.contains(id)).collect();
+            (me, Word { leaderless, hears })
+        };
+        paper.words = (2..=5).map(|id| word(id, 0, &[])).collect();
+        assert_eq!(paper.next(), Next::Nothing);
+        paper.words.extend([word(2, 1_000, &[1]), word(3, 1_000, &[1])]);
+        assert_eq!(paper.next(), Next::Nothing, "not for so long yet");
+        paper.words.extend([word(2, 2_000, &[1]), word(3, 2_000, &[1])]);
+        assert_eq!(paper.next(), Next::Transfer(4));
+        paper.words.extend([word(2, 2_000, &[1, 4]), word(3, 2_000, &[1])]);
+        assert_eq!(paper.next(), Next::Transfer(5), "not every other one hears 4");
+        // One that hears nobody is no reason to go: nobody would be heard better.
+        paper.words = (2..=4).map(|id| word(id, 0, &[5])).collect();
+        paper.words.extend([word(5, 9_000, &[1, 2, 3, 4])]);
+        assert_eq!(paper.next(), Next::Nothing);
+    }
 }
--- a/src/store/owner.rs
+++ b/src/store/owner.rs
@@ -402,7 +402,13 @@
             more.push(("witnesses", form::write(&self.witnesses)));
         }
         match disk.write(&write, &more) {
-            Ok(()) => true,
+            Ok(()) => {
+                let last = write.entries.last().map(|e| (e.index, e.term));
+                if let Some((index, term)) = last.or(write.snapshot.as_ref().map(|s| (s.index, s.term))) {
+                    log::debug!("store: holds {index} of term {term}");
+                }
+                true
+            }
             Err(e) => {
                 self.fail(e);
                 false
