Share what daemons learn of hosts as evidence with its age and its source

Each daemon tells what hosts told it; digests and differences spread it, also round a link that is cut. Ages go between daemons, not times. A peer's word names no host that the agreed list has not, is voided by what this daemon heard of that host later, and proves no position. The module hears of a new primary as a hint.

--- a/src/core/members.rs
+++ b/src/core/members.rs
@@ -101,6 +101,11 @@
     MemberId { ip: [b[0], b[1], b[2], b[3]], port: u16::from_be_bytes([b[4], b[5]]) }
 }
 
+/// The id that a name has wherever no other name has taken it.
+pub fn id_of(name: &str) -> MemberId {
+    fold(name, 0)
+}
+
 impl Members {
     /// The id of a name; a second name that folds to the same id gets another one.
     pub fn id(&mut self, name: &str) -> MemberId {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! [`Final`] with an answer `A`; a host side carries out [`Command`]s and reports how each attempt ended.
 
 pub mod classes;
+pub mod facts;
 pub mod figures;
 pub mod members;
 pub mod owner;
@@ -120,6 +121,8 @@
     },
     /// What holds now is told there.
     Gauges(Sender<Gauges>),
+    /// What hosts have told since the last time is told there.
+    Facts(Sender<Vec<facts::Fact>>),
     /// Whatever is open gets its final answer now: the program ends.
     End,
     /// End the thread.
@@ -227,6 +230,13 @@
         gauges.recv().await.ok()
     }
 
+    /// What hosts have told since the last time. `None`: the core has ended.
+    pub async fn facts(&self) -> Option<Vec<facts::Fact>> {
+        let (reply, facts) = async_channel::bounded(1);
+        self.control(Control::Facts(reply)).await;
+        facts.recv().await.ok()
+    }
+
     /// Hands in a request; waits while the queue is full. `None`: the core has ended.
     pub async fn submit(
         &self,
@@ -329,6 +339,7 @@
                 owner.list(clock.now(), &list, cached, &mut out)
             }
             Woken::Control(Control::Gauges(reply)) => drop(reply.try_send(owner.gauges(clock.now()))),
+            Woken::Control(Control::Facts(reply)) => drop(reply.try_send(owner.facts())),
             Woken::Control(Control::End) => owner.end(clock.now(), &mut out),
             Woken::Input(input) => owner.input(clock.now(), input, &mut out),
             Woken::Timer => {}
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -3,6 +3,7 @@
 //! What it guards for every front: one final answer for each request, one attempt out at a time, results
 //! that come after the end are told to the module and dropped, and a client that has gone ends its attempt.
 
+use super::facts::{Fact, Facts};
 use super::figures::{End, Figures, Gauges};
 use super::members::{Listing, Members};
 use super::{Command, Ended, Final, Input, Need, Submission};
@@ -64,6 +65,7 @@
     events: VecDeque<Event>,
     actions: Vec<Action>,
     figures: Arc<Figures>,
+    facts: Facts,
 }
 
 impl<W: Clone, A> Owner<W, A> {
@@ -84,6 +86,7 @@
             events: VecDeque::new(),
             actions: Vec::new(),
             figures,
+            facts: Facts::default(),
         }
     }
 
@@ -105,6 +108,25 @@
         Gauges { concurrent: self.open.len() + self.begun.len(), targets, disabled }
     }
 
+    /// What hosts have told since this was last asked.
+    pub fn facts(&mut self) -> Vec<Fact> {
+        let new = self.facts.take();
+        let mut out: BTreeMap<MemberId, u16> = BTreeMap::new();
+        self.out.values().for_each(|flight| *out.entry(flight.member).or_default() += 1);
+        let fact = |(member, (mark, at)): (MemberId, (Mark, Micros))| {
+            let host = self.members.host(member)?;
+            Some(Fact {
+                host: host.name.clone(),
+                primary: mark.primary,
+                position: mark.position,
+                at,
+                out: out.get(&member).copied().unwrap_or(0),
+                started: host.started_at,
+            })
+        };
+        new.into_iter().filter_map(fact).collect()
+    }
+
     /// Fires what is due.
     pub fn due(&mut self, now: Micros, commands: &mut Vec<Command<W>>) {
         while let Some(&(at, timer)) = self.timers.first()
@@ -201,6 +223,7 @@
         let mark = believed(now, mark);
         let report = self.credible(now, report);
         let Some(flight) = self.out.remove(&(id, attempt)) else { return };
+        self.facts.note(flight.member, mark, now);
         let served = outcome == Outcome::Ok;
         if let Some(answer) = answer.filter(|_| served) {
             // One that was given up meanwhile has its answer: this one is dropped.
--- a/src/daemon/operator.rs
+++ b/src/daemon/operator.rs
@@ -17,7 +17,7 @@
 use crate::net::until;
 use crate::store::disk::{Disk, Held};
 use crate::store::owner;
-use async_io::Async;
+use async_io::{Async, Timer};
 use std::os::unix::net::UnixStream;
 use std::path::Path;
 use std::rc::Rc;
@@ -202,6 +202,16 @@
     }
     let hosts =
         Hosts::new(Sparql::new(limits.clone(), operator.host_path.clone(), fields), limits.clone(), clock);
+    {
+        let (fleet, handle, period) = (fleet.clone(), handle.clone(), limits.tick * 2);
+        let task = async move {
+            while let Some(facts) = handle.facts().await {
+                fleet.observe(&facts);
+                Timer::after(period).await;
+            }
+        };
+        executor.spawn(task).detach();
+    }
     {
         // What other daemons' modules have heard of a host is a hint to this one's.
         let (fleet, handle) = (fleet.clone(), handle.clone());
@@ -214,7 +224,7 @@
     }
     let carrying = carry(&executor, &hosts, commands, &handle, async move |command| {
         if let Command::Tell { bytes, .. } = command {
-            fleet.hint(bytes);
+            fleet.hint(&bytes);
         }
     });
     let at = listener.get_ref().local_addr().unwrap_or(operator.listen);
--- a/src/fleet/api.rs
+++ b/src/fleet/api.rs
@@ -41,6 +41,7 @@
     }
     match (method, path) {
         ("GET", "/hosts") => (200, hosts(fleet)),
+        ("GET", "/fleet/learned") => (200, learned(fleet)),
         ("GET", "/fleet") => (200, describe(fleet)),
         ("POST", "/fleet/form") if fleet.form() => (200, "a fleet is formed".into()),
         ("POST", "/fleet/form") => (409, format!("not formed: {}", fleet.table().stand.0)),
@@ -99,6 +100,17 @@
     list.map_or(String::new(), |l| l.entries.iter().map(line).collect::<Vec<_>>().join("\n"))
 }
 
+/// What the fleet has learned of the hosts, a line for each fact; who is believed to be primary comes first.
+fn learned(fleet: &Fleet) -> String {
+    let table = fleet.table();
+    let now = fleet.now();
+    let name = |id: NodeId| table.state.members.get(&id).map_or(format!("{id:016x}"), |m| m.name.clone());
+    let beliefs = table.learned.beliefs().iter().map(|(group, b)| {
+        format!("group {group} primary {} heard by {} {} ms ago", b.host, name(b.by), (now - b.at) / 1000)
+    });
+    beliefs.chain(table.learned.describe(now, name)).collect::<Vec<_>>().join("\n")
+}
+
 /// What this daemon is in the fleet.
 pub fn role(table: &Table) -> &'static str {
     let me = table.identity.id;
--- a/src/fleet/driver.rs
+++ b/src/fleet/driver.rs
@@ -3,13 +3,16 @@
 
 use super::forming::{self, Hello, Stand, Verdict};
 use super::frame::{Beat, Frame};
+use super::learned::{Count, Learned};
 use super::marks::Marks;
 use super::members::{Next, View, Wish, Word};
 use super::way::{PATH, PROTOCOL, Way, may_meet};
 use crate::clock::Clock;
 use crate::config::Limits;
-use crate::core::members::{Listed, Listing};
-use crate::interface::Micros;
+use crate::core::facts::Fact;
+use crate::core::members::{Listed, Listing, id_of};
+use crate::hint::Hint;
+use crate::interface::{MemberId, Micros};
 use crate::net::buffer::Buffer;
 use crate::net::http::server::{self, Request};
 use crate::net::link::Link;
@@ -83,6 +86,10 @@
     pub met: BTreeMap<SocketAddr, Hello>,
     /// Addresses at which a fleet's members are said to be.
     pub told: BTreeMap<SocketAddr, String>,
+    /// What the fleet has learned of the hosts.
+    pub learned: Learned,
+    /// What each of the others knows of that, by its last word.
+    pub digests: BTreeMap<NodeId, Vec<(NodeId, Count)>>,
     /// The last word of each.
     pub heard: BTreeMap<NodeId, Heard>,
     /// Members that have found nothing wrong with this daemon's disk.
@@ -161,7 +168,10 @@
             old.changes(&me.name)
         });
         marks.settle(&state);
+        let learned = Learned::new(identity.id, clock.now().max(0) as u64);
         let table = Table {
+            learned,
+            digests: BTreeMap::new(),
             applied: status.applied,
             identity,
             state,
@@ -209,6 +219,11 @@
         self.table.borrow()
     }
 
+    /// The present.
+    pub fn now(&self) -> Micros {
+        self.clock.now()
+    }
+
     fn change(&self) -> RefMut<'_, Table> {
         self.table.borrow_mut()
     }
@@ -343,6 +358,7 @@
                 Output::Renewed(identity) => {
                     log::warn!("fleet: this daemon begins anew, as {:016x}", identity.id);
                     let mut table = self.change();
+                    table.learned = Learned::new(identity.id, self.clock.now().max(0) as u64);
                     table.identity = identity;
                     table.welcomes.clear();
                     // What was agreed goes on to be served until the fleet has told it again.
@@ -766,6 +782,18 @@
             if Instant::now() >= beat {
                 beat = Instant::now() + self.limits.beat;
                 self.spread(&self.beat());
+                let now = self.clock.now();
+                {
+                    let mut table = self.change();
+                    let Table { learned, state, digests, .. } = &mut *table;
+                    learned.tidy(now, state);
+                    digests.retain(|id, _| state.members.contains_key(id));
+                }
+                // Where nothing is known there is nothing to compare.
+                let digest = self.table().learned.digest();
+                if !digest.is_empty() {
+                    self.spread(&Frame::Digest(digest));
+                }
                 let recent = Instant::now();
                 self.change().candidates.retain(|_, (_, at)| recent - *at < self.limits.gone * 5);
             }
@@ -1046,8 +1074,44 @@
                     way.send(&Frame::Marks(self.table().marks.all()).bytes());
                 }
             }
-            Frame::Hint(bytes) => drop(self.hints.0.try_send(bytes)),
-            Frame::Hello(_) | Frame::Verdict(..) | Frame::Forward(_) => {
+            Frame::Digest(digest) => {
+                self.change().digests.insert(from.id, digest.clone());
+                let words = {
+                    let table = self.table();
+                    let hears = table.heard.get(&from.id).map_or(&[][..], |h| &h.beat.hears[..]);
+                    let hears = |id| hears.contains(&id);
+                    table.learned.lacks(self.clock.now(), &digest, hears, self.limits.facts)
+                };
+                if !words.is_empty()
+                    && let Some(way) = self.way_to(from.id)
+                {
+                    way.send(&Frame::Words(words).bytes());
+                }
+            }
+            Frame::Words(words) => {
+                let now = self.clock.now();
+                let new = {
+                    let mut table = self.change();
+                    let Table { learned, state, .. } = &mut *table;
+                    learned.hear(now, words, state);
+                    learned.believe(now, state)
+                };
+                let me = self.table().identity.id;
+                for (group, belief) in new.into_iter().filter(|(_, b)| b.by != me) {
+                    log::info!(
+                        "fleet: group {group}: another daemon has heard that {} is primary",
+                        belief.host
+                    );
+                    let hint = Hint { member: id_of(&belief.host), at: belief.at };
+                    let _ = self.hints.0.try_send(hint.write());
+                }
+            }
+            Frame::Hint([a, b, c, d, e, f], age) if age >= 0 => {
+                let member = MemberId { ip: [a, b, c, d], port: u16::from_be_bytes([e, f]) };
+                let hint = Hint { member, at: self.clock.now() - age };
+                let _ = self.hints.0.try_send(hint.write());
+            }
+            Frame::Hello(_) | Frame::Verdict(..) | Frame::Forward(_) | Frame::Hint(..) => {
                 self.pass_over("out of place");
                 return false;
             }
@@ -1070,9 +1134,42 @@
         }
     }
 
-    /// Tells the others' modules something.
-    pub fn hint(&self, bytes: Vec<u8>) {
-        self.spread(&Frame::Hint(bytes));
+    /// Tells the others' modules what this one's has heard. Times go as ages: clocks may differ.
+    pub fn hint(&self, bytes: &[u8]) {
+        let Some(Hint { member, at }) = Hint::read(bytes) else { return };
+        let [a, b, c, d] = member.ip;
+        let [e, f] = member.port.to_be_bytes();
+        self.spread(&Frame::Hint([a, b, c, d, e, f], (self.clock.now() - at).max(0)));
+    }
+
+    /// Takes in what hosts have told this daemon.
+    pub fn observe(&self, facts: &[Fact]) {
+        let now = self.clock.now();
+        let urgent = {
+            let mut table = self.change();
+            let Table { learned, state, .. } = &mut *table;
+            let urgent = learned.observe(now, facts);
+            learned.believe(now, state);
+            urgent
+        };
+        if urgent {
+            self.spread(&Frame::Digest(self.table().learned.digest()));
+            self.push();
+        }
+    }
+
+    /// What the others lack of this daemon's own facts, as far as is known, without being asked.
+    fn push(&self) {
+        let now = self.clock.now();
+        let table = self.table();
+        let me = table.identity.id;
+        for way in self.ways().iter().filter(|w| w.up.get()) {
+            let known = table.digests.get(&way.id()).cloned().unwrap_or_default();
+            let words = table.learned.lacks(now, &known, |id| id != me, self.limits.facts);
+            if !words.is_empty() {
+                way.send(&Frame::Words(words).bytes());
+            }
+        }
     }
 
     /// The next word of another daemon's module.
--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -1,7 +1,9 @@
 //! What goes between two daemons: frames with a length before them and a check sum inside.
 
 use super::forming::{Hello, Verdict};
+use super::learned::{Count, Word};
 use super::members::Wish;
+use crate::interface::Micros;
 use crate::store::agreed::Proposal;
 use crate::store::disk::Marks;
 use crate::store::form::{self, Letter, NodeId};
@@ -24,8 +26,12 @@
     Marks(Marks),
     /// How things stand with the sender.
     Beat(Beat),
-    /// A hint for the module.
-    Hint(Vec<u8>),
+    /// What the sender knows of the hosts, by source.
+    Digest(Vec<(NodeId, Count)>),
+    /// What the one that it goes to lacks of that.
+    Words(Vec<Word>),
+    /// A host has called itself the primary, so long ago: a hint for the module.
+    Hint([u8; 6], Micros),
 }
 
 /// A daemon's last word.
