Put confirmed changes into the log after a step, never in its midst; a measuring tool

Cause: an undrain whose leader had just been confirmed was proposed between the library's ready and its advance; with eight callers at once that ended the agreement in a panic (log_unstable.rs, last entry 36, expected 35) and a new election.

Without the change the new test counts a panic, with it none.

--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -25,11 +25,15 @@
     pub disk: bool,
     /// How far each daemon's clock is off, in milliseconds; missing: not at all.
     pub clocks: Vec<i64>,
+    /// The program is of version 0.2.0 or before: it exchanges whole copies and knows no fleet.
+    pub old: bool,
+    /// Hosts in the inventory beside those that run: nobody listens there.
+    pub more_hosts: usize,
 }
 
 impl Default for Setup {
     fn default() -> Setup {
-        Setup { daemons: 5, hosts: (2, 3), disk: true, clocks: Vec::new() }
+        Setup { daemons: 5, hosts: (2, 3), disk: true, clocks: Vec::new(), old: false, more_hosts: 0 }
     }
 }
 
@@ -122,8 +126,9 @@
         self.fronts.push(Relay::start(nowhere(), false));
         self.public.push(Relay::start(nowhere(), true));
         for other in 0..n {
-            self.links.insert((n, other), Relay::start(self.daemons[other].store, true));
-            self.links.insert((other, n), Relay::start(nowhere(), true));
+            let frames = !self.setup.old;
+            self.links.insert((n, other), Relay::start(self.daemons[other].store, frames));
+            self.links.insert((other, n), Relay::start(nowhere(), frames));
         }
     }
 
@@ -147,19 +152,25 @@
 
     /// The inventory that says what there is.
     pub fn inventory(&self) -> String {
-        self.hosts.inventory(|h| self.host_links[&h.name].address)
+        let mut text = self.hosts.inventory(|h| self.host_links[&h.name].address);
+        for n in 0..self.setup.more_hosts {
+            text += &format!("x-{n},127.0.0.1:9,{},z-{}\n", 1000 + n / 3, n % 3);
+        }
+        text
     }
 
     fn write_files(&self, n: usize, named: &[usize]) {
         let daemon = &self.daemons[n];
         let peers = named.iter().filter(|o| **o != n).map(|o| self.links[&(n, *o)].address.to_string());
         let peers = peers.collect::<Vec<_>>().join(", ");
+        let public = self.public[n].address;
+        let advertise = if self.setup.old { String::new() } else { format!("\n  advertise: {public}") };
         let disk = if self.setup.disk { "\n  snapshot: fleet.store" } else { "" };
         let text = format!(
             "name: {}\nnumber: {n}\nsparql:\n  listen: 127.0.0.1:0\n  query: catalog-read\n  session: own-edit-read\n  \
-             update: score-write\nstore:\n  listen: 127.0.0.1:0\n  advertise: {}\n  peers: [{peers}]{disk}\nadmin: 127.0.0.1:0\n\
+             update: score-write\nstore:\n  listen: 127.0.0.1:0{advertise}\n  peers: [{peers}]{disk}\nadmin: 127.0.0.1:0\n\
              inventory: hosts.csv\nzones: [z-0, z-1, z-2]\nsockets: 1024\nsettings:\n  balancers: {}\n{SETTINGS}",
-            daemon.name, self.public[n].address, self.setup.daemons
+            daemon.name, self.setup.daemons
         );
         std::fs::write(daemon.folder.join("operator.yaml"), text).expect("a file");
         self.write_inventory(n, &self.inventory());
@@ -210,6 +221,9 @@
         all.iter().for_each(|n| self.start(*n));
         all.iter().for_each(|n| self.ready(*n));
         let size = all.len();
+        if self.setup.old {
+            return;
+        }
         eventually("all vote", || {
             all.iter().all(|n| self.fleet(*n).lines().filter(|l| l.contains(" voter ")).count() == size)
         });
--- a/src/store/owner.rs
+++ b/src/store/owner.rs
@@ -419,11 +419,7 @@
     /// Works off all steps; false: nobody listens any more.
     fn settle(&mut self) -> bool {
         while let Some(Some(mut pending)) = self.guarded(Replica::step) {
-            for number in self.replica.confirmed() {
-                if let Some(waiting) = self.waiting.remove(&number) {
-                    self.put(waiting.proposal);
-                }
-            }
+            let confirmed = self.replica.confirmed();
             let send = std::mem::take(&mut pending.send);
             if !send.is_empty() {
                 self.tell(Output::Letters(send));
@@ -438,6 +434,12 @@
                 return true;
             }
             let Some((letters, applied)) = self.guarded(|r| r.written(pending)) else { continue };
+            // Only now: nothing may go into the log in the midst of a step.
+            for number in confirmed {
+                if let Some(waiting) = self.waiting.remove(&number) {
+                    self.put(waiting.proposal);
+                }
+            }
             if !letters.is_empty() {
                 self.tell(Output::Letters(letters));
             }
--- a/tests/fleet_replication.rs
+++ b/tests/fleet_replication.rs
@@ -436,6 +436,74 @@
     }
 }
 
+/// Guards against a change that goes into the log in the midst of another one's step.
+#[test]
+fn changes_side_by_side_are_all_agreed() {
+    let lab = &mut lab(Setup { daemons: 3, hosts: (8, 3), ..Setup::default() });
+    lab.start_all();
+    thread::scope(|s| {
+        for group in 1..=8 {
+            let at = lab.daemons[group % 3].store;
+            s.spawn(move || {
+                for round in 0..12 {
+                    for word in ["drain", "undrain"] {
+                        let path = format!("/{word}/s-{group}-{}", round % 3);
+                        assert_eq!(http::call(at, "POST", &path).map(|m| m.status()), Some(200), "{path}");
+                    }
+                }
+            });
+        }
+    });
+    lab.settled();
+    for n in 0..3 {
+        assert_eq!(lab.fact(n, "panics"), "0", "daemon {n}");
+        assert!(!lab.fleet(n).contains("\ndrain "), "daemon {n}");
+    }
+    holds(lab, 3);
+}
+
+/// Guards against daemons that each find a new primary by themselves, with a write that has to fail first.
+#[test]
+fn what_one_daemon_hears_of_a_primary_the_others_know() {
+    let lab = &mut lab(Setup { daemons: 3, ..Setup::default() });
+    lab.start_all();
+    let write = |lab: &Lab, n: usize, number: u64| {
+        let body = format!("INSERT r#{number}");
+        let request = format!(
+            "POST /sparql HTTP/1.1\r\nHost: lab\r\nBrookpass-Group: 1\r\nContent-Type: application/sparql-update\r\n\
+             Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let mut connection = http::Connection::open(lab.fronts[n].address, Duration::from_secs(5)).unwrap();
+        connection.call(&request).unwrap().status()
+    };
+    let learned =
+        |lab: &Lab, n: usize| http::call(lab.daemons[n].store, "GET", "/fleet/learned").unwrap().text();
+    // The hub hears of it only through the one between them.
+    lab.cut_one_way(0, 2);
+    let primaries = ["s-1-0", "s-1-2", "s-1-1"];
+    for (round, host) in primaries.into_iter().enumerate() {
+        lab.hosts.hand_over(1, host);
+        let number = 1_000_000 + 10 * round as u64;
+        assert_eq!(write(lab, 0, number), 200);
+        for n in [1, 2] {
+            let words = format!("group 1 primary {host} heard by b0");
+            eventually("the others know", || learned(lab, n).contains(&words));
+        }
+        for n in [2, 1] {
+            let number = number + n as u64;
+            assert_eq!(write(lab, n, number), 200);
+            let arrivals = lab.hosts.arrivals();
+            let at: Vec<&str> =
+                arrivals.iter().filter(|a| a.request == number).map(|a| a.host.as_str()).collect();
+            assert_eq!(at, [host], "daemon {n} asked nobody else");
+        }
+    }
+    let text = learned(lab, 2);
+    assert!(text.lines().any(|l| l.starts_with("s-1-1 b0 primary ")), "{text}");
+    holds(lab, 3);
+}
+
 /// Plays faults by seed with a load beside them, and reads the histories.
 fn play(seed: u64) {
     let lab = &mut five();
