--- a/src/config.rs
+++ b/src/config.rs
@@ -274,6 +274,7 @@
             turned_away: self.door / 4,
             crowded: self.door,
             client_idle: self.startup,
+            relief: self.period,
             message: 4 * 1024,
             head: 4 * 1024,
             ..self.clone()
--- a/src/core/members.rs
+++ b/src/core/members.rs
@@ -89,6 +89,7 @@
     /// Every group that a list has named: one that has lost all its hosts may get others.
     groups: BTreeSet<u32>,
     ids: BTreeMap<String, MemberId>,
+    taken: BTreeSet<MemberId>,
     hosts: BTreeMap<MemberId, Host>,
     entries: BTreeMap<MemberId, Entry>,
 }
@@ -116,13 +117,13 @@
         if let Some(id) = self.ids.get(name) {
             return *id;
         }
-        let taken: BTreeSet<MemberId> = self.ids.values().copied().collect();
-        let id = (0..=u8::MAX).map(|salt| fold(name, salt)).find(|id| !taken.contains(id));
+        let id = (0..=u8::MAX).map(|salt| fold(name, salt)).find(|id| !self.taken.contains(id));
         let id = id.unwrap_or_else(|| fold(name, 0));
         if id != fold(name, 0) {
             log::warn!("host {name}: its id is taken by another name; the ring may differ between poolers");
         }
         self.ids.insert(name.to_string(), id);
+        self.taken.insert(id);
         id
     }
 
@@ -165,6 +166,7 @@
         }
         for host in changed.iter().filter(|h| h.gone) {
             if let Some(id) = self.ids.remove(&host.name) {
+                self.taken.remove(&id);
                 self.hosts.remove(&id);
                 self.entries.remove(&id);
             }
--- a/src/daemon/operator.rs
+++ b/src/daemon/operator.rs
@@ -125,6 +125,8 @@
     let clock = Clock::start();
     let machine = Machine::operator(operator.sockets);
     let mut limits = Limits::on(if operator.admin.is_some() { machine.with_door() } else { machine });
+    // Here connections are many but none makes room in haste: idle ones may be looked for at leisure.
+    limits.relief = limits.insist;
     let mut files = Files { settings: operator.settings.clone().map(|s| (s, operator.changed)), hosts: None };
     if let Some(path) = &operator.inventory {
         files.hosts = Some(file::inventory(path, &operator.zones, &limits)?);
@@ -142,7 +144,12 @@
         named: operator.store.peers.clone(),
     };
     // A connection for each daemon, and some for operators.
-    let few = Rc::new(Limits { clients: limits.members + 16, turned_away: 4, ..limits.clone() });
+    let few = Rc::new(Limits {
+        clients: limits.members + 16,
+        turned_away: 4,
+        relief: limits.period,
+        ..limits.clone()
+    });
     let fleet = Fleet::new(me, few.clone(), clock.clone(), executor.clone(), opened, inputs);
     fleet.read_files(|own| *own = files);
     let operator = Rc::new(operator);
@@ -203,7 +210,7 @@
     let hosts =
         Hosts::new(Sparql::new(limits.clone(), operator.host_path.clone(), fields), limits.clone(), clock);
     {
-        let (fleet, handle, period) = (fleet.clone(), handle.clone(), limits.tick * 2);
+        let (fleet, handle, period) = (fleet.clone(), handle.clone(), limits.insist);
         let task = async move {
             while let Some(facts) = handle.facts().await {
                 fleet.observe(&facts);
--- a/src/fleet/driver.rs
+++ b/src/fleet/driver.rs
@@ -29,6 +29,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::mpsc::SyncSender;
 use std::time::{Duration, Instant};
 
 /// What this daemon's own files say, each with when it was last changed.
@@ -120,7 +121,7 @@
     pub limits: Rc<Limits>,
     clock: Clock,
     executor: Rc<LocalExecutor<'static>>,
-    inputs: Sender<Input>,
+    inputs: SyncSender<Input>,
     table: RefCell<Table>,
     ways: RefCell<BTreeMap<SocketAddr, Rc<Way>>>,
     /// Those who wait for what changes.
@@ -156,7 +157,7 @@
         clock: Clock,
         executor: Rc<LocalExecutor<'static>>,
         opened: Opened,
-        inputs: Sender<Input>,
+        inputs: SyncSender<Input>,
     ) -> Rc<Fleet> {
         let now = Instant::now();
         let Opened { identity, state, status, marks, legacy } = opened;
@@ -797,7 +798,7 @@
                 let recent = Instant::now();
                 self.change().candidates.retain(|_, (_, at)| recent - *at < self.limits.gone * 5);
             }
-            super::way::rest(self.limits.tick * 2, &woken).await;
+            super::way::rest(self.limits.insist, &woken).await;
             // Many changes in a row are worked off together.
             Timer::after(Duration::from_millis(1)).await;
         }
--- a/src/inventory/mod.rs
+++ b/src/inventory/mod.rs
@@ -5,7 +5,7 @@
 use crate::config::Limits;
 use crate::core::members::Listed;
 use crate::interface::{Availability, Micros};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::Path;
 use yaml::{Fault, Node};
@@ -30,24 +30,39 @@
     hosts.into_iter().map(|(name, line, facts)| listed(name, line, &facts, zones)).collect()
 }
 
-/// The line of a record that the reader found from `byte` on: it passes over blank lines and comments.
-fn line_of(text: &str, byte: u64) -> usize {
-    let mut at = (byte as usize).min(text.len());
-    while let Some(rest) = text.get(at..).filter(|r| !r.is_empty()) {
-        let line = rest.split('\n').next().unwrap_or("");
-        if !line.trim().is_empty() && !line.starts_with('#') {
-            break;
+/// Finds the lines of records that the reader found from one byte on after another: it passes over blank lines and
+/// comments. What was counted once is not counted again, or a long file would take its length squared.
+struct Lines<'a> {
+    text: &'a str,
+    counted: usize,
+    line: usize,
+}
+
+impl Lines<'_> {
+    fn of(&mut self, byte: u64) -> usize {
+        let mut at = (byte as usize).min(self.text.len());
+        while let Some(rest) = self.text.get(at..).filter(|r| !r.is_empty()) {
+            let line = rest.split('\n').next().unwrap_or("");
+            if !line.trim().is_empty() && !line.starts_with('#') {
+                break;
+            }
+            at = (at + line.len() + 1).min(self.text.len());
         }
-        at = (at + line.len() + 1).min(text.len());
+        if at < self.counted {
+            (self.counted, self.line) = (0, 1);
+        }
+        self.line += self.text.as_bytes()[self.counted..at].iter().filter(|b| **b == b'\n').count();
+        self.counted = at;
+        self.line
     }
-    1 + text.as_bytes()[..at].iter().filter(|b| **b == b'\n').count()
 }
 
 fn csv_hosts(text: &str) -> Result<Vec<(String, usize, Facts)>, Fault> {
     let mut reader =
         csv::ReaderBuilder::new().trim(csv::Trim::All).comment(Some(b'#')).from_reader(text.as_bytes());
-    let fault = |e: csv::Error| {
-        let line = e.position().map_or(1, |p| line_of(text, p.byte()));
+    let mut lines = Lines { text, counted: 0, line: 1 };
+    let fault = |e: csv::Error, lines: &mut Lines<'_>| {
+        let line = e.position().map_or(1, |p| lines.of(p.byte()));
         Fault::new(
             line,
             match e.kind() {
@@ -59,7 +74,7 @@
             },
         )
     };
-    let header = reader.headers().map_err(fault)?.clone();
+    let header = reader.headers().map_err(|e| fault(e, &mut lines))?.clone();
     for (n, column) in header.iter().enumerate() {
         if header.iter().take(n).any(|c| c == column) {
             return Err(Fault::new(1, format!("column {column:?} stands twice")));
@@ -71,13 +86,14 @@
         }
     }
     let mut hosts: Vec<(String, usize, Facts)> = Vec::new();
+    let mut names = BTreeSet::new();
     for row in reader.records() {
-        let row = row.map_err(fault)?;
-        let line = row.position().map_or(1, |p| line_of(text, p.byte()));
+        let row = row.map_err(|e| fault(e, &mut lines))?;
+        let line = row.position().map_or(1, |p| lines.of(p.byte()));
         let pairs = header.iter().zip(row.iter()).filter(|(_, v)| !v.is_empty());
         let mut facts: Facts = pairs.map(|(k, v)| (k.to_string(), (v.to_string(), line))).collect();
         let (name, _) = facts.remove("name").ok_or_else(|| Fault::new(line, "a host without a name"))?;
-        if hosts.iter().any(|(n, ..)| *n == name) {
+        if !names.insert(name.clone()) {
             return Err(Fault::new(line, format!("host {name:?} stands twice")));
         }
         hosts.push((name, line, facts));
@@ -85,13 +101,20 @@
     Ok(hosts)
 }
 
+/// Hosts in the order of the file, and where each stands among them.
+#[derive(Default)]
+struct Found {
+    hosts: Vec<(String, usize, Facts)>,
+    places: BTreeMap<String, usize>,
+}
+
 fn yaml_hosts(text: &str, limits: &Limits) -> Result<Vec<(String, usize, Facts)>, Fault> {
     let tree = yaml::parse(text, limits)?;
-    let mut hosts: Vec<(String, usize, Facts)> = Vec::new();
+    let mut found = Found::default();
     for (name, group) in tree.map("the inventory")? {
-        walk(name, group, &Facts::new(), &mut hosts)?;
+        walk(name, group, &Facts::new(), &mut found)?;
     }
-    Ok(hosts)
+    Ok(found.hosts)
 }
 
 /// The facts that a group's or a host's variables state: Ansible's own names, or ours after `brookpass_`.
@@ -112,12 +135,7 @@
 }
 
 /// A group: its variables hold for its hosts and children, nearer ones first.
-fn walk(
-    name: &str,
-    group: &Node,
-    above: &Facts,
-    hosts: &mut Vec<(String, usize, Facts)>,
-) -> Result<(), Fault> {
+fn walk(name: &str, group: &Node, above: &Facts, found: &mut Found) -> Result<(), Fault> {
     let mut inherited = above.clone();
     for (key, part) in group.map(&format!("group {name:?}"))? {
         match key.as_str() {
@@ -133,8 +151,12 @@
             }
             let mut own = inherited.clone();
             facts(vars, "a host's variables", &mut own)?;
-            match hosts.iter_mut().find(|(n, ..)| n == host) {
-                None => hosts.push((host.clone(), vars.line, own)),
+            let place = found.places.get(host).and_then(|place| found.hosts.get_mut(*place));
+            match place {
+                None => {
+                    found.places.insert(host.clone(), found.hosts.len());
+                    found.hosts.push((host.clone(), vars.line, own));
+                }
                 // A host may stand in several groups, where they agree.
                 Some((.., known)) => {
                     for (k, (v, line)) in own {
@@ -152,7 +174,7 @@
     }
     if let Some(children) = group.get("children") {
         for (child, part) in children.map("children")? {
-            walk(child, part, &inherited, hosts)?;
+            walk(child, part, &inherited, found)?;
         }
     }
     Ok(())
--- a/src/store/owner.rs
+++ b/src/store/owner.rs
@@ -6,11 +6,10 @@
 use super::form::{self, Conf, Hard, Letter, NodeId};
 use super::replica::{Applied, Image, Progress, Replica, Write};
 use crate::config::Limits;
-use async_channel::{Receiver, Sender, TrySendError};
-use async_io::Timer;
-use futures_lite::future;
+use async_channel::{Receiver, Sender};
 use std::collections::BTreeMap;
 use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::mpsc::{self, RecvTimeoutError, SyncSender};
 use std::time::Instant;
 
 /// What comes in.
@@ -130,8 +129,8 @@
     disk: Disk,
     held: Held,
     limits: &Limits,
-) -> Result<(Opened, Sender<Input>, Receiver<Output>), String> {
-    let (inputs, queue) = async_channel::bounded(limits.queue);
+) -> Result<(Opened, SyncSender<Input>, Receiver<Output>), String> {
+    let (inputs, queue) = mpsc::sync_channel(limits.queue);
     // The sockets' thread takes what comes as it comes, and drops what it cannot send.
     let (out, outputs) = async_channel::unbounded();
     let Held { image, marks, witnesses, legacy, .. } = held;
@@ -177,17 +176,12 @@
 }
 
 impl Owner {
-    fn run(mut self, queue: &Receiver<Input>) {
+    fn run(mut self, queue: &mpsc::Receiver<Input>) {
         let mut next = Instant::now() + self.limits.tick;
         self.settle();
         loop {
-            let input = async { Some(queue.recv().await) };
-            let tick = async {
-                Timer::at(next).await;
-                None
-            };
-            match future::block_on(future::or(input, tick)) {
-                Some(Ok(input)) => {
+            match queue.recv_timeout(next.saturating_duration_since(Instant::now())) {
+                Ok(input) => {
                     self.input(input);
                     // One write for all that waits.
                     for _ in 0..self.limits.queue {
@@ -195,8 +189,8 @@
                         self.input(input);
                     }
                 }
-                Some(Err(_)) => return,
-                None => {}
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
             }
             let now = Instant::now();
             if now >= next {
@@ -212,7 +206,7 @@
 
     fn tell(&self, output: Output) {
         // Unbounded: full it never is, and a receiver that is gone ends the loop by the queue.
-        let _: Result<(), TrySendError<Output>> = self.out.try_send(output);
+        let _ = self.out.try_send(output);
     }
 
     fn status(&self) -> Status {
