Tell the core only the hosts that changed, and rest longer between two words

Cause: each agreed change handed the core the whole list; with 5,000 hosts and many changes these lists filled the queue to 614 MB. What a change touches is noted, and only that is told. The agreement's heartbeat goes every 200 ms, half as often: the election time of 500 ms and more stays.

--- a/src/daemon/operator.rs
+++ b/src/daemon/operator.rs
@@ -18,6 +18,7 @@
 use crate::store::disk::{Disk, Held};
 use crate::store::owner;
 use async_io::{Async, Timer};
+use std::collections::BTreeMap;
 use std::os::unix::net::UnixStream;
 use std::path::Path;
 use std::rc::Rc;
@@ -67,19 +68,14 @@
     ready: async_channel::Sender<()>,
     mut settings: String,
 ) {
-    let (mut last, mut version) = (None, None);
+    let mut list = BTreeMap::new();
     let changed = fleet.watch();
     loop {
         if let Some(newer) = fleet.settings().filter(|t| *t != settings) {
             log::warn!("other settings are agreed now; they count from the next start");
             settings = newer;
         }
-        let now = Some(fleet.list_version());
-        if std::mem::replace(&mut version, now) != now
-            && let Some(list) = fleet.listing()
-            && last.as_ref() != Some(&list.entries)
-        {
-            last = Some(list.entries.clone());
+        if let Some(list) = fleet.list_change(&mut list) {
             handle.control(Control::List { list, cached: false }).await;
             ready.close();
         }
@@ -210,7 +206,7 @@
     let hosts =
         Hosts::new(Sparql::new(limits.clone(), operator.host_path.clone(), fields), limits.clone(), clock);
     {
-        let (fleet, handle, period) = (fleet.clone(), handle.clone(), limits.insist);
+        let (fleet, handle, period) = (fleet.clone(), handle.clone(), limits.period);
         let task = async move {
             while let Some(facts) = handle.facts().await {
                 fleet.observe(&facts);
--- a/src/fleet/driver.rs
+++ b/src/fleet/driver.rs
@@ -12,7 +12,7 @@
 use crate::core::facts::Fact;
 use crate::core::members::{Listed, Listing, id_of};
 use crate::hint::Hint;
-use crate::interface::{MemberId, Micros};
+use crate::interface::{Availability, MemberId, Micros};
 use crate::net::buffer::Buffer;
 use crate::net::http::server::{self, Request};
 use crate::net::link::Link;
@@ -65,6 +65,12 @@
     pub leaderless: Option<Instant>,
 }
 
+/// Hosts that may have changed in the list.
+enum Touched {
+    All,
+    Hosts(BTreeSet<String>),
+}
+
 /// All that the driver knows.
 pub struct Table {
     /// Who this daemon is, by its disk.
@@ -136,6 +142,7 @@
     /// Closed when all connections are to be opened anew.
     epoch: RefCell<(Sender<()>, Receiver<()>)>,
     compared: Cell<(Micros, u64)>,
+    touched: RefCell<Touched>,
 }
 
 /// What became of a change that an operator asked for.
@@ -212,6 +219,7 @@
             proposed: RefCell::default(),
             epoch: RefCell::new(async_channel::bounded(1)),
             compared: Cell::default(),
+            touched: RefCell::new(Touched::All),
         })
     }
 
@@ -246,13 +254,46 @@
         self.waiting.borrow_mut().retain(|w| !w.is_closed() && (w.try_send(()).is_ok() || !w.is_closed()));
     }
 
-    /// Another one where the list may have changed.
-    pub fn list_version(&self) -> (u32, u64) {
+    /// What has changed in the list to act on since this was last asked: a host that is drained here is closed,
+    /// agreed or not. `None`: nothing, or nothing was agreed yet. The caller keeps the list that it makes.
+    pub fn list_change(&self, kept: &mut BTreeMap<String, Listed>) -> Option<Listing> {
         let table = self.table();
-        (table.state.digest, table.marks.version())
+        table.state.inventory.as_ref()?;
+        let touched = self.touched.replace(Touched::Hosts(BTreeSet::new()));
+        let now = |name: &String| {
+            let drained = table.state.is_drained(name) || table.marks.drains(name);
+            table.state.hosts.get(name).map(|host| host.listed(name, drained))
+        };
+        let whole = kept.is_empty();
+        let names: BTreeSet<String> = match touched {
+            Touched::Hosts(names) if !whole => names,
+            _ => table.state.hosts.keys().chain(kept.keys()).cloned().collect(),
+        };
+        let mut entries = Vec::new();
+        for name in names {
+            match (now(&name), kept.get(&name)) {
+                (Some(new), old) if old != Some(&new) => {
+                    kept.insert(name, new.clone());
+                    entries.push(new);
+                }
+                (None, Some(_)) => {
+                    let old = kept.remove(&name);
+                    entries.extend(old.map(|e| Listed { availability: Availability::Gone, ..e }));
+                }
+                _ => {}
+            }
+        }
+        (!entries.is_empty()).then_some(Listing { index: table.applied, whole, entries })
     }
 
-    /// The list to act on, once one was agreed: hosts that are drained here are closed, agreed or not.
+    /// These hosts may have changed in the list.
+    fn touch(&self, hosts: impl IntoIterator<Item = String>) {
+        if let Touched::Hosts(names) = &mut *self.touched.borrow_mut() {
+            names.extend(hosts);
+        }
+    }
+
+    /// The list to act on, once one was agreed.
     pub fn listing(&self) -> Option<Listing> {
         let table = self.table();
         table.state.inventory.as_ref()?;
@@ -396,8 +437,12 @@
         let (fleet, me) = (table.state.fleet, table.identity.id);
         for one in applied {
             match one.what {
-                What::State(state) => table.state = *state,
+                What::State(state) => {
+                    table.state = *state;
+                    *self.touched.borrow_mut() = Touched::All;
+                }
                 What::Change(Proposal { from, token, change }) => {
+                    self.touch(named(&change));
                     let effect = table.state.apply(one.index, &change);
                     log::debug!(
                         "fleet: agreed {} {:08x}: {}",
@@ -437,6 +482,8 @@
         }
         let Table { marks, state, .. } = &mut *table;
         let settled = marks.settle(state);
+        self.touch(settled.iter().map(|(host, _)| host.clone()));
+        let settled = !settled.is_empty();
         drop(table);
         if settled {
             self.save();
@@ -567,6 +614,7 @@
                 return Some(Outcome::Agreed);
             }
             let (me, now) = (table.identity.id, self.clock.now());
+            self.touch([host.to_string()]);
             table.marks.say(host, me, now)
         };
         log::info!("fleet: {host} is drained here");
@@ -798,9 +846,10 @@
                 let recent = Instant::now();
                 self.change().candidates.retain(|_, (_, at)| recent - *at < self.limits.gone * 5);
             }
-            super::way::rest(self.limits.insist, &woken).await;
-            // Many changes in a row are worked off together.
-            Timer::after(Duration::from_millis(1)).await;
+            if super::way::rest(self.limits.insist, &woken).await {
+                // Many changes in a row are worked off together.
+                Timer::after(Duration::from_millis(1)).await;
+            }
         }
     }
 
@@ -1123,6 +1172,7 @@
     fn hear_marks(&self, marks: Vec<(String, crate::store::agreed::Mark)>) {
         let new = {
             let mut table = self.change();
+            self.touch(marks.iter().map(|(host, _)| host.clone()));
             let Table { marks: own, state, .. } = &mut *table;
             own.hear(marks, state, self.limits.marks)
         };
@@ -1179,6 +1229,15 @@
     }
 }
 
+/// Hosts that a change may change in the list.
+fn named(change: &Change) -> Vec<String> {
+    match change {
+        Change::Drain { host, .. } | Change::Undrain { host, .. } => vec![host.clone()],
+        Change::Inventory { set, gone, .. } => set.iter().map(|(n, _)| n).chain(gone).cloned().collect(),
+        Change::Settings { .. } => Vec::new(),
+    }
+}
+
 fn describe(change: &Change, effect: Effect) -> String {
     match change {
         Change::Drain { host, .. } => format!("drain {host}: {effect:?}"),
--- a/src/fleet/marks.rs
+++ b/src/fleet/marks.rs
@@ -61,8 +61,8 @@
         self.version != before
     }
 
-    /// Forgets what the log has settled; true: something was.
-    pub fn settle(&mut self, state: &State) -> bool {
+    /// Forgets what the log has settled, and says what that was.
+    pub fn settle(&mut self, state: &State) -> Vec<(String, Mark)> {
         let settled: Vec<(String, Mark)> =
             self.open.keys().filter(|(host, mark)| state.settled(host, *mark)).cloned().collect();
         for key in &settled {
@@ -75,7 +75,7 @@
             }
         }
         self.version += u64::from(!settled.is_empty());
-        !settled.is_empty()
+        settled
     }
 
     /// Whether a host is drained by one of them.
--- a/src/fleet/way.rs
+++ b/src/fleet/way.rs
@@ -208,7 +208,7 @@
     a == b || a == 0 || b == 0
 }
 
-/// Comes back after a span, or sooner when a message comes.
-pub async fn rest(span: Duration, wake: &Receiver<()>) {
-    let _ = until(Instant::now() + span, wake.recv()).await;
+/// Comes back after a span, or sooner when a message comes; whether one came.
+pub async fn rest(span: Duration, wake: &Receiver<()>) -> bool {
+    until(Instant::now() + span, wake.recv()).await.is_some()
 }
--- a/src/store/replica.rs
+++ b/src/store/replica.rs
@@ -15,7 +15,7 @@
 /// Ticks without a word of a leader before an election, at least; twice as many at most.
 pub const ELECTION_TICKS: usize = 10;
 /// Ticks between two words of a leader.
-pub const HEARTBEAT_TICKS: usize = 2;
+pub const HEARTBEAT_TICKS: usize = 4;
 
 /// What a disk holds of the agreement.
 #[derive(Clone, Debug, Default, PartialEq)]
