Watch a silent daemon with one timer for many words

Cause: each frame set a timer of its own, and each timer wakes the reactor's thread four times. Seats, hosts and the fleet's own round look twice a second where nothing waits.

--- a/src/daemon/operator.rs
+++ b/src/daemon/operator.rs
@@ -122,7 +122,8 @@
     let machine = Machine::operator(operator.sockets);
     let mut limits = Limits::on(if operator.admin.is_some() { machine.with_door() } else { machine });
     // Here connections are many but none makes room in haste: idle ones may be looked for at leisure.
-    limits.relief = limits.insist;
+    limits.relief = limits.period;
+    limits.tidy = limits.period * 4;
     let mut files = Files { settings: operator.settings.clone().map(|s| (s, operator.changed)), hosts: None };
     if let Some(path) = &operator.inventory {
         files.hosts = Some(file::inventory(path, &operator.zones, &limits)?);
--- a/src/fleet/driver.rs
+++ b/src/fleet/driver.rs
@@ -818,6 +818,19 @@
         }
     }
 
+    /// How long nothing need be done, if nothing happens: what waits is said again, what rests may rest.
+    fn pause(&self) -> Duration {
+        let table = self.table();
+        let waits = !table.marks.is_empty()
+            || !table.wishes.is_empty()
+            || !table.candidates.is_empty()
+            || !table.state.is_complete()
+            || table.state.fleet == 0
+            || !table.status.part
+            || !self.proposed.borrow().is_empty();
+        if waits { self.limits.insist } else { self.limits.beat }
+    }
+
     /// Does for ever what has to be done now and then.
     pub async fn go_on(self: &Rc<Fleet>) {
         let mut beat = Instant::now();
@@ -846,7 +859,7 @@
                 let recent = Instant::now();
                 self.change().candidates.retain(|_, (_, at)| recent - *at < self.limits.gone * 5);
             }
-            if super::way::rest(self.limits.insist, &woken).await {
+            if super::way::rest(self.pause(), &woken).await {
                 // Many changes in a row are worked off together.
                 Timer::after(Duration::from_millis(1)).await;
             }
@@ -982,7 +995,9 @@
         if link.write(&upgrade).await.is_err() {
             return;
         }
-        let Some(Frame::Hello(hello)) = self.next_frame(&mut link, &mut buffer).await else { return };
+        let first =
+            until(Instant::now() + self.limits.startup, self.next_frame(&mut link, &mut buffer)).await;
+        let Some(Some(Frame::Hello(hello))) = first else { return };
         let verdict = {
             let mut table = self.change();
             let known = table.status.witnesses.get(&hello.id).copied();
@@ -1017,13 +1032,11 @@
                 }
             }
         };
-        futures_lite::future::or(
-            async {
-                let _ = epoch.recv().await;
-            },
-            hear,
-        )
-        .await;
+        let ends = async {
+            let _ = epoch.recv().await;
+        };
+        use futures_lite::future::or;
+        or(or(ends, self.silence(hello.id)), hear).await;
     }
 
     async fn next_frame(&self, link: &mut Link, buffer: &mut Buffer) -> Option<Frame> {
@@ -1039,14 +1052,24 @@
                     return None;
                 }
             }
-            // Every daemon has a word now and then: one that has none for so long is gone.
-            let end = Instant::now() + self.limits.stall;
-            if !matches!(until(end, link.read(buffer)).await, Some(Ok(n)) if n > 0) {
+            if !matches!(link.read(buffer).await, Ok(n) if n > 0) {
                 return None;
             }
         }
     }
 
+    /// Comes back when a daemon has had no word for long: each has one now and then. One timer for many words.
+    async fn silence(&self, id: NodeId) {
+        let mut last = Instant::now();
+        loop {
+            Timer::at(last + self.limits.stall).await;
+            match self.table().heard.get(&id) {
+                Some(heard) if heard.at > last => last = heard.at,
+                _ => return,
+            }
+        }
+    }
+
     fn pass_over(&self, why: &str) {
         let mut table = self.change();
         table.dropped += 1;
