--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -81,7 +81,8 @@
     })
 }
 
-/// Opens the operators' door.
+/// Opens the operators' door; `more` tells figures beside the core's.
+#[allow(clippy::too_many_arguments)]
 pub fn open_door<W: Send + 'static, A: Send + 'static>(
     executor: &Executor,
     at: SocketAddr,
@@ -90,10 +91,11 @@
     handle: &Handle<W, A>,
     duty: &Rc<Duty>,
     ready: &Receiver<()>,
+    more: impl Fn() -> String + 'static,
 ) -> Result<(), String> {
     let listener = listen::open(at).map_err(|e| format!("the operators' address {at}: {e}"))?;
     log::info!("{name}: operators at http://{}", listener.get_ref().local_addr().unwrap_or(at));
-    let door = Rc::new(Door::new(limits, handle.clone(), duty.clone(), ready.clone()));
+    let door = Rc::new(Door::new(limits, handle.clone(), duty.clone(), ready.clone(), more));
     let seats = Seats::new(door.limits().clone(), Rc::default());
     let serving = accept(executor, listener, &seats, move |stream, place, welcome| {
         let door = door.clone();
--- a/src/daemon/operator.rs
+++ b/src/daemon/operator.rs
@@ -226,6 +226,7 @@
         };
         executor.spawn(task).detach();
     }
+    let told = fleet.clone();
     let carrying = carry(&executor, &hosts, commands, &handle, async move |command| {
         if let Command::Tell { bytes, .. } = command {
             fleet.hint(&bytes);
@@ -237,7 +238,9 @@
     let ending = handle.clone();
     let duty = Rc::new(Duty::default());
     if let Some(at) = operator.admin {
-        open_door(&executor, at, &operator.name, &limits, &handle, &duty, &ready)?;
+        let fleet = told.clone();
+        let more = move || api::figures(&fleet);
+        open_door(&executor, at, &operator.name, &limits, &handle, &duty, &ready, more)?;
     }
     let front =
         Rc::new(Front { limits: limits.clone(), handle, classes, service, ready, duty: duty.clone() });
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -138,7 +138,7 @@
     }
     let duty = Rc::new(Duty::default());
     if let Some(at) = platform.admin {
-        open_door(&executor, at, &platform.name, &limits, &handle, &duty, &ready)?;
+        open_door(&executor, at, &platform.name, &limits, &handle, &duty, &ready, String::new)?;
     }
     {
         let (limits, handle) = (limits.clone(), handle.clone());
--- a/src/fleet/api.rs
+++ b/src/fleet/api.rs
@@ -124,6 +124,41 @@
     }
 }
 
+/// Places of the log that this daemon has yet to take in, by what anybody said to be agreed.
+fn lag(table: &Table) -> u64 {
+    let most = table.heard.values().map(|h| h.beat.agreed).chain([table.status.agreed]).max().unwrap_or(0);
+    most.saturating_sub(table.applied)
+}
+
+/// Figures for the door, a line each.
+pub fn figures(fleet: &Fleet) -> String {
+    let table = fleet.table();
+    let heard = table
+        .heard
+        .iter()
+        .filter(|(id, h)| table.state.members.contains_key(id) && h.at.elapsed() < fleet.limits.gone);
+    let unsent: u64 = fleet.ways().iter().map(|w| w.dropped.get()).sum();
+    let lines = [
+        ("members", table.state.members.len() as u64, 'g'),
+        ("voters", table.status.conf.voters.len() as u64, 'g'),
+        ("heard", heard.count() as u64, 'g'),
+        ("led", u64::from(table.status.leader != 0), 'g'),
+        ("leads", u64::from(table.status.leader == table.identity.id), 'g'),
+        ("term", table.status.term, 'g'),
+        ("agreed", table.status.agreed, 'g'),
+        ("lag", lag(&table), 'g'),
+        ("unagreed_drains", table.marks.all().len() as u64, 'g'),
+        ("log_bytes", table.status.log.0 as u64, 'g'),
+        ("dropped", table.dropped + table.status.dropped.0, 'c'),
+        ("unsent", unsent, 'c'),
+        ("panics", table.status.dropped.1, 'c'),
+    ];
+    lines.iter().fold(String::new(), |mut out, (name, value, kind)| {
+        let _ = writeln!(out, "svc.fleet.{name}:{value}|{kind}");
+        out
+    })
+}
+
 /// All that is known of the fleet, a line for each fact.
 pub fn describe(fleet: &Fleet) -> String {
     let table = fleet.table();
@@ -138,9 +173,7 @@
     let _ = writeln!(out, "fleet {:032x}", table.state.fleet);
     let _ = writeln!(out, "daemon {} {:016x} {}", fleet.me.name, table.identity.id, role(&table));
     let _ = writeln!(out, "leader {} term {}", name(status.leader), status.term);
-    // The place up to which anybody said that there is agreement.
-    let most = table.heard.values().map(|h| h.beat.agreed).chain([status.agreed]).max().unwrap_or(0);
-    let lag = most.saturating_sub(table.applied);
+    let lag = lag(&table);
     let _ = writeln!(
         out,
         "agreed {} applied {} digest {:08x} lag {lag}",
--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -25,6 +25,8 @@
     ready: Receiver<()>,
     /// What held when the core was asked last.
     last: Cell<Gauges>,
+    /// Figures of other parts, a line each.
+    more: Box<dyn Fn() -> String>,
 }
 
 /// A path, the method that it takes, and what is called there.
@@ -55,8 +57,15 @@
 
 impl<W, A> Door<W, A> {
     /// A door with limits of its own: calls are few and short.
-    pub fn new(limits: &Limits, handle: Handle<W, A>, duty: Rc<Duty>, ready: Receiver<()>) -> Door<W, A> {
-        Door { limits: Rc::new(limits.for_door()), handle, duty, ready, last: Cell::default() }
+    pub fn new(
+        limits: &Limits,
+        handle: Handle<W, A>,
+        duty: Rc<Duty>,
+        ready: Receiver<()>,
+        more: impl Fn() -> String + 'static,
+    ) -> Door<W, A> {
+        let (limits, more) = (Rc::new(limits.for_door()), Box::new(more));
+        Door { limits, handle, duty, ready, last: Cell::default(), more }
     }
 
     /// The limits of its connections.
@@ -99,7 +108,7 @@
                 // Late figures are worse than gauges of a moment ago.
                 let gauges = until(Instant::now() + self.limits.ready, self.handle.gauges()).await.flatten();
                 self.last.set(gauges.unwrap_or(self.last.get()));
-                let figures = self.handle.figures().text(self.last.get());
+                let figures = self.handle.figures().text(self.last.get()) + &(self.more)();
                 server::answer(200, &[], figures.trim_end())
             }
             Ok(Call::Drain) => text(self.duty.drain(), "drained"),
--- a/tests/sparql.rs
+++ b/tests/sparql.rs
@@ -184,6 +184,10 @@
         assert!(told.lines().any(|l| l == line), "{line} in {told}");
     }
     assert!(told.contains("svc.dispatches:2|c") && told.contains("svc.targets:1|g"), "{told}");
+    for line in ["svc.fleet.members:1|g", "svc.fleet.leads:1|g", "svc.fleet.lag:0|g", "svc.fleet.panics:0|c"]
+    {
+        assert!(told.lines().any(|l| l == line), "{line} in {told}");
+    }
     assert_eq!(call_door("PUT", "/v1/pooler/drain").status(), 200);
     assert_eq!(client.call(&query("")).status(), 200, "what is taken is answered");
     assert_eq!(call(running.front, "GET /-/ready HTTP/1.1\r\n\r\n").status(), 503);
