--- a/src/store/replica/tests.rs
+++ b/src/store/replica/tests.rs
@@ -186,7 +186,7 @@
 #[test]
 fn any_schedule_agrees_on_one_sequence_and_loses_no_drain() {
     let (mut changes, mut snapshots) = (0, 0);
-    for seed in 0..1500 {
+    for seed in 0..2000 {
         let mut world = World::new(seed, if seed % 3 == 0 { 5 } else { 3 });
         for _ in 0..600 {
             world.turn();
