Show that a slow daemon holds up nobody else

Measured: with the links of one of three at 2 kB/s, 150 drains and undrains between the other two are agreed, each within a second, memory below 64 MB; the slow one catches up after that.

--- a/tests/fleet_replication.rs
+++ b/tests/fleet_replication.rs
@@ -4,6 +4,7 @@
 use brookpass_lab::client::Plan;
 use brookpass_lab::fleet::{Lab, Setup};
 use brookpass_lab::host::Arrival;
+use brookpass_lab::relay::Weather;
 use brookpass_lab::script::{Act, Script};
 use brookpass_lab::{eventually, http, now};
 use std::io::{Read, Write};
@@ -436,6 +437,39 @@
     }
 }
 
+/// Guards against one slow daemon that holds the others up, or for which they hold ever more.
+#[test]
+fn a_slow_daemon_makes_nobody_else_slow_and_catches_up() {
+    let lab = &mut lab(Setup { daemons: 3, ..Setup::default() });
+    lab.start_all();
+    let leader = lab.led();
+    let rest = others(lab, leader);
+    let (slow, other) = (rest[0], rest[1]);
+    let crawl = Weather { rate: 2_000, ..Weather::default() };
+    for ((from, to), relay) in &lab.links {
+        if *from == slow || *to == slow {
+            relay.set(crawl, crawl);
+        }
+    }
+    for round in 0..150 {
+        let host = ["s-1-0", "s-1-1", "s-2-2"][round % 3];
+        let began = std::time::Instant::now();
+        assert_eq!(lab.post(other, &format!("/drain/{host}")), 200);
+        assert_eq!(lab.leaves(leader, host), Some(true));
+        assert!(began.elapsed() < Duration::from_millis(1_000), "round {round}: {:?}", began.elapsed());
+        assert_eq!(lab.post(leader, &format!("/undrain/{host}")), 200);
+    }
+    for n in [leader, other] {
+        let (_, memory) = lab.daemons[n].process.as_ref().unwrap().usage();
+        assert!(memory < 64 * 1024, "daemon {n} holds {memory} KiB");
+    }
+    assert_eq!(lab.post(leader, "/drain/s-1-1"), 200);
+    lab.heal();
+    lab.all_leave(&[slow], "s-1-1", true);
+    lab.settled();
+    holds(lab, 3);
+}
+
 /// Guards against a change that goes into the log in the midst of another one's step.
 #[test]
 fn changes_side_by_side_are_all_agreed() {
