--- a/lab/src/bin/measure.rs
+++ b/lab/src/bin/measure.rs
@@ -1,8 +1,8 @@
 //! Measures how several daemons behave together, one version beside another, and prints tables.
 
 use brookpass_lab::client::{Asked, Plan};
-use brookpass_lab::eventually;
 use brookpass_lab::fleet::{Lab, Setup};
+use brookpass_lab::{eventually, now};
 use clap::{Parser, ValueEnum};
 use hdrhistogram::Histogram;
 use std::path::PathBuf;
@@ -40,6 +40,8 @@
     CatchUp,
     /// The SPARQL front's latency and throughput.
     Front,
+    /// A loss of power of all daemons, until they serve as before.
+    Power,
 }
 
 fn millis(values: &mut [f64]) -> String {
@@ -220,6 +222,55 @@
         );
     }
 
+    fn power(&self, daemons: usize) {
+        let mut lab = self.lab(Setup { daemons, hosts: (8, 3), ..Setup::default() });
+        lab.start_all();
+        // No primary is the first of its group in the list.
+        for group in 1..=8 {
+            lab.hosts.hand_over(group, &format!("s-{group}-{}", group % 3));
+        }
+        let plan = Plan { rate: 400.0, clients: 4 * daemons, groups: 8, writes: 3, age: 800, seed: 11 };
+        let load = lab.load(plan);
+        thread::sleep(Duration::from_secs(8));
+        let off = now();
+        (0..daemons).for_each(|n| lab.kill(n));
+        thread::sleep(Duration::from_secs(1));
+        let on = now();
+        (0..daemons).for_each(|n| lab.start(n));
+        (0..daemons).for_each(|n| lab.ready(n));
+        thread::sleep(Duration::from_secs(6));
+        let asked = load.end();
+        let served = |from: i64, to: i64| {
+            asked.iter().filter(|a| a.status == 200 && (from..to).contains(&a.until)).count() as f64
+                / ((to - from) as f64 / 1e6)
+        };
+        let usual = served(off - 3_000_000, off);
+        let first = |write| {
+            let all = asked.iter().filter(|a| a.status == 200 && a.sent >= on && a.write == write);
+            all.map(|a| a.until - on).min().unwrap_or(0) as f64 / 1000.0
+        };
+        let span = 250_000;
+        let whole = (0..).map(|n| on + n * span).take_while(|at| at + span < now());
+        let whole = whole.map(|at| (at, served(at, at + span))).find(|(_, rate)| *rate >= usual * 0.95);
+        let whole =
+            whole.map_or("never".to_string(), |(at, _)| format!("{:.0}", (at + span - on) as f64 / 1000.0));
+        // The first second in which hosts are reached.
+        let arrivals = lab.hosts.arrivals();
+        let began = arrivals.iter().map(|a| a.at).filter(|at| *at >= on).min().unwrap_or(on);
+        let in_first = |host: &str| {
+            let mine = |at: i64| (began - 100_000..began + 1_000_000).contains(&at);
+            let asked = lab.hosts.named(host).probes().into_iter().filter(|at| mine(*at)).count();
+            (arrivals.iter().filter(|a| a.host == host && mine(a.at)).count(), asked)
+        };
+        let all: Vec<(usize, usize)> = lab.hosts.all.iter().map(|h| in_first(&h.name)).collect();
+        let most = all.iter().map(|(a, p)| a + p).max().unwrap_or(0);
+        let probes: usize = all.iter().map(|(_, p)| p).sum();
+        let name = format!("| power | {} | {daemons}", self.label());
+        println!("{name} | first served write; read, ms | {:.0} | {:.0} |", first(true), first(false));
+        println!("{name} | served as before ({usual:.0}/s) after, ms | {whole} | |");
+        println!("{name} | first second: probes of all hosts; most at one host | {probes} | {most} |");
+    }
+
     fn front(&self, round: usize) {
         let mut lab = self.lab(Setup { daemons: 3, hosts: (4, 3), ..Setup::default() });
         lab.start_all();
@@ -251,7 +302,7 @@
     let words = Words::parse();
     let bench =
         |program: PathBuf, old| Bench { program, folder: words.folder.clone(), times: words.times, old };
-    let now = bench(words.program.clone(), false);
+    let this = bench(words.program.clone(), false);
     let before = words.before.clone().map(|program| bench(program, true));
     let wants = |what| words.what.is_empty() || words.what.contains(&what);
     println!(
@@ -259,19 +310,24 @@
     );
     if wants(What::Front) {
         for round in 0..3 {
-            before.iter().chain([&now]).for_each(|b| b.front(round));
+            before.iter().chain([&this]).for_each(|b| b.front(round));
         }
     }
     if wants(What::Drain) {
-        before.iter().chain([&now]).for_each(Bench::drains);
+        before.iter().chain([&this]).for_each(Bench::drains);
     }
     if wants(What::Leader) {
-        now.leader();
+        this.leader();
+    }
+    if wants(What::Power) {
+        for daemons in [3, 5, 12] {
+            before.iter().chain([&this]).for_each(|b| b.power(daemons));
+        }
     }
     if wants(What::Idle) {
-        before.iter().chain([&now]).for_each(Bench::idle);
+        before.iter().chain([&this]).for_each(Bench::idle);
     }
     if wants(What::CatchUp) {
-        now.catch_up();
+        this.catch_up();
     }
 }
--- a/lab/src/host.rs
+++ b/lab/src/host.rs
@@ -71,6 +71,8 @@
     /// Positions of the group's commits, in order.
     commits: Arc<Mutex<Vec<i64>>>,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
+    /// Questions about itself that reached it: when.
+    probes: Arc<Mutex<Vec<i64>>>,
 }
 
 /// All hosts, with one record of what reached them.
@@ -112,6 +114,7 @@
                     })),
                     commits: commits.clone(),
                     arrivals: hosts.arrivals.clone(),
+                    probes: Arc::default(),
                 };
                 let own = host.clone();
                 thread::spawn(move || {
@@ -159,6 +162,11 @@
         change(&mut self.inner.lock().expect("a host").health);
     }
 
+    /// When it was asked about itself, in Unix microseconds.
+    pub fn probes(&self) -> Vec<i64> {
+        self.probes.lock().expect("the record").clone()
+    }
+
     /// The most operations that it had at once, since the last question.
     pub fn most(&self) -> usize {
         std::mem::take(&mut self.inner.lock().expect("a host").most)
@@ -181,6 +189,9 @@
                 return;
             }
             let probe = request.first.contains("ASK%20%7B%7D ");
+            if probe {
+                self.probes.lock().expect("the record").push(now());
+            }
             let Some(answer) = (if probe {
                 Some(self.answer(&request, false, 200))
             } else {
