--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -376,6 +376,23 @@
         http::call(self.daemons[n].store, "POST", path).map_or(0, |m| m.status())
     }
 
+    /// One write of a client to a daemon, with a number to find it by at hosts: the status; 0: no answer.
+    pub fn write(&self, n: usize, group: u32, number: u64) -> u16 {
+        let body = format!("INSERT r#{number}");
+        let request = format!(
+            "POST /sparql HTTP/1.1\r\nHost: lab\r\nBrookpass-Group: {group}\r\n\
+             Content-Type: application/sparql-update\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let open = http::Connection::open(self.fronts[n].address, Duration::from_secs(5));
+        open.and_then(|mut c| c.call(&request)).map_or(0, |m| m.status())
+    }
+
+    /// The hosts that a request reached, in order.
+    pub fn reached(&self, number: u64) -> Vec<String> {
+        self.hosts.arrivals().into_iter().filter(|a| a.request == number).map(|a| a.host).collect()
+    }
+
     /// Whether a daemon takes a host for leaving; `None`: it does not answer, or knows no such host.
     pub fn leaves(&self, n: usize, host: &str) -> Option<bool> {
         let text = http::call(self.daemons[n].store, "GET", "/hosts")?.text();
--- a/tests/fleet_recovery.rs
+++ b/tests/fleet_recovery.rs
@@ -15,21 +15,6 @@
     Lab::new(Path::new(env!("CARGO_BIN_EXE_brookpass")), folder, setup)
 }
 
-fn write(lab: &Lab, n: usize, group: u32, number: u64) -> u16 {
-    let body = format!("INSERT r#{number}");
-    let request = format!(
-        "POST /sparql HTTP/1.1\r\nHost: lab\r\nBrookpass-Group: {group}\r\nContent-Type: application/sparql-update\r\n\
-         Content-Length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    let open = http::Connection::open(lab.fronts[n].address, Duration::from_secs(5));
-    open.and_then(|mut c| c.call(&request)).map_or(0, |m| m.status())
-}
-
-fn asked(lab: &Lab, number: u64) -> Vec<String> {
-    lab.hosts.arrivals().into_iter().filter(|a| a.request == number).map(|a| a.host).collect()
-}
-
 fn power_off(lab: &mut Lab) {
     (0..lab.daemons.len()).for_each(|n| lab.kill(n));
 }
@@ -56,7 +41,7 @@
     }
     lab.start_all();
     for group in 1..=6 {
-        assert_eq!(write(lab, 0, group, 100 + u64::from(group)), 200);
+        assert_eq!(lab.write(0, group, 100 + u64::from(group)), 200);
     }
     for n in 0..3 {
         lab.daemons[n].process.as_ref().unwrap().line("6 words on hosts are kept");
@@ -72,8 +57,8 @@
         assert!(text.contains("group 1 guess s-1-") || text.contains("group 1 primary s-1-"), "{text}");
         for group in 1..=6 {
             let number = 1_000 + 100 * n as u64 + u64::from(group);
-            assert_eq!(write(lab, n, group, number), 200);
-            assert_eq!(asked(lab, number), [primary(group)], "daemon {n}, group {group}");
+            assert_eq!(lab.write(n, group, number), 200);
+            assert_eq!(lab.reached(number), [primary(group)], "daemon {n}, group {group}");
         }
     }
     // A guess that is wrong costs time only: the primaries have moved while all were down.
@@ -85,8 +70,8 @@
     power_on(lab);
     for group in 1..=6 {
         let number = 2_000 + u64::from(group);
-        assert_eq!(write(lab, 1, group, number), 200);
-        assert_eq!(asked(lab, number).last(), Some(&format!("s-{group}-0")));
+        assert_eq!(lab.write(1, group, number), 200);
+        assert_eq!(lab.reached(number).last(), Some(&format!("s-{group}-0")));
     }
     check::one_attempt(&lab.hosts.arrivals()).unwrap();
     check::agreement(&lab.logs(), 3).unwrap();
@@ -144,7 +129,7 @@
         lab.ready(n);
         assert!(lab.fleet(n).contains("serves with what was last agreed"), "{}", lab.fleet(n));
         assert_eq!(lab.leaves(n, "s-1-1"), Some(true));
-        assert_eq!(write(lab, n, 1, 10 + n as u64), 200);
+        assert_eq!(lab.write(n, 1, 10 + n as u64), 200);
     }
     assert_eq!(lab.post(1, "/undrain/s-1-1"), 503);
     assert_eq!(lab.post(3, "/drain/s-2-1"), 202);
