--- a/tests/fleet_replication.rs
+++ b/tests/fleet_replication.rs
@@ -503,16 +503,6 @@
 fn what_one_daemon_hears_of_a_primary_the_others_know() {
     let lab = &mut lab(Setup { daemons: 3, ..Setup::default() });
     lab.start_all();
-    let write = |lab: &Lab, n: usize, number: u64| {
-        let body = format!("INSERT r#{number}");
-        let request = format!(
-            "POST /sparql HTTP/1.1\r\nHost: lab\r\nBrookpass-Group: 1\r\nContent-Type: application/sparql-update\r\n\
-             Content-Length: {}\r\n\r\n{body}",
-            body.len()
-        );
-        let mut connection = http::Connection::open(lab.fronts[n].address, Duration::from_secs(5)).unwrap();
-        connection.call(&request).unwrap().status()
-    };
     let learned =
         |lab: &Lab, n: usize| http::call(lab.daemons[n].store, "GET", "/fleet/learned").unwrap().text();
     // The hub hears of it only through the one between them.
@@ -521,18 +511,15 @@
     for (round, host) in primaries.into_iter().enumerate() {
         lab.hosts.hand_over(1, host);
         let number = 1_000_000 + 10 * round as u64;
-        assert_eq!(write(lab, 0, number), 200);
+        assert_eq!(lab.write(0, 1, number), 200);
         for n in [1, 2] {
             let words = format!("group 1 primary {host} heard by b0");
             eventually("the others know", || learned(lab, n).contains(&words));
         }
         for n in [2, 1] {
             let number = number + n as u64;
-            assert_eq!(write(lab, n, number), 200);
-            let arrivals = lab.hosts.arrivals();
-            let at: Vec<&str> =
-                arrivals.iter().filter(|a| a.request == number).map(|a| a.host.as_str()).collect();
-            assert_eq!(at, [host], "daemon {n} asked nobody else");
+            assert_eq!(lab.write(n, 1, number), 200);
+            assert_eq!(lab.reached(number), [host], "daemon {n} asked nobody else");
         }
     }
     let text = learned(lab, 2);
