Read through: one lag, one whole write of an image, no dead parameters in the stand-in host

Found on reading the whole change: what anybody said to be agreed was worked out in two places, a disk's whole write built in the owner and again in its tests, and the stand-in host took a request that it never read. Behaviour is the same; the tests keep their assertions.

--- a/lab/src/host.rs
+++ b/lab/src/host.rs
@@ -192,11 +192,9 @@
             if probe {
                 self.probes.lock().expect("the record").push(now());
             }
-            let Some(answer) = (if probe {
-                Some(self.answer(&request, false, 200))
-            } else {
-                self.work(&request, reader.get_ref())
-            }) else {
+            let Some(answer) =
+                (if probe { Some(self.answer(false, 200)) } else { self.work(&request, reader.get_ref()) })
+            else {
                 return;
             };
             if writer.write_all(answer.as_bytes()).is_err() {
@@ -224,7 +222,7 @@
         };
         if write && !primary {
             self.note(arrival);
-            return Some(self.answer(request, false, 421));
+            return Some(self.answer(false, 421));
         }
         let mut waited = false;
         loop {
@@ -239,13 +237,12 @@
                 if inner.waiting >= health.queue && !health.silent {
                     drop(inner);
                     self.note(arrival);
-                    return Some(self.answer(request, false, 503));
+                    return Some(self.answer(false, 503));
                 }
                 inner.waiting += 1;
                 inner.most = inner.most.max(inner.running + inner.waiting);
                 waited = true;
             }
-            let silent = inner.health.silent;
             drop(inner);
             if gone(stream, Duration::from_millis(1)) {
                 self.inner.lock().expect("a host").waiting -= 1;
@@ -253,7 +250,6 @@
                 self.note(arrival);
                 return None;
             }
-            let _ = silent;
         }
         let left = gone(stream, health.work);
         self.inner.lock().expect("a host").running -= 1;
@@ -261,11 +257,11 @@
         arrival.served = !left;
         self.note(arrival);
         // A write has its effect, whether or not anybody hears of it.
-        let answer = self.answer(request, write, 200);
+        let answer = self.answer(write, 200);
         (!left).then_some(answer)
     }
 
-    fn answer(&self, request: &Message, commits: bool, status: u16) -> String {
+    fn answer(&self, commits: bool, status: u16) -> String {
         let (health, primary) = {
             let inner = self.inner.lock().expect("a host");
             (inner.health, inner.primary)
@@ -282,7 +278,6 @@
             present - health.lag
         };
         drop(log);
-        let _ = request;
         let role = if primary { "primary" } else { "replica" };
         // The body tells the position of the data that it was made from.
         let body = position.to_string();
--- a/src/fleet/api.rs
+++ b/src/fleet/api.rs
@@ -135,12 +135,6 @@
     }
 }
 
-/// Places of the log that this daemon has yet to take in, by what anybody said to be agreed.
-fn lag(table: &Table) -> u64 {
-    let most = table.heard.values().map(|h| h.beat.agreed).chain([table.status.agreed]).max().unwrap_or(0);
-    most.saturating_sub(table.applied)
-}
-
 /// Figures for the door, a line each.
 pub fn figures(fleet: &Fleet) -> String {
     let table = fleet.table();
@@ -157,7 +151,7 @@
         ("leads", u64::from(table.status.leader == table.identity.id), 'g'),
         ("term", table.status.term, 'g'),
         ("agreed", table.status.agreed, 'g'),
-        ("lag", lag(&table), 'g'),
+        ("lag", table.lag(), 'g'),
         ("unagreed_drains", table.marks.all().len() as u64, 'g'),
         ("log_bytes", table.status.log.0 as u64, 'g'),
         ("dropped", table.dropped + table.status.dropped.0, 'c'),
@@ -184,7 +178,7 @@
     let _ = writeln!(out, "fleet {:032x}", table.state.fleet);
     let _ = writeln!(out, "daemon {} {:016x} {}", fleet.me.name, table.identity.id, role(&table));
     let _ = writeln!(out, "leader {} term {}", name(status.leader), status.term);
-    let lag = lag(&table);
+    let lag = table.lag();
     let _ = writeln!(
         out,
         "agreed {} applied {} digest {:08x} lag {lag}",
--- a/src/fleet/driver.rs
+++ b/src/fleet/driver.rs
@@ -120,6 +120,14 @@
     pub leads: Option<Instant>,
 }
 
+impl Table {
+    /// Places of the log that this daemon has yet to take in, by what anybody said to be agreed.
+    pub fn lag(&self) -> u64 {
+        let told = self.heard.values().map(|h| h.beat.agreed).chain([self.status.agreed]).max();
+        told.unwrap_or(0).saturating_sub(self.applied)
+    }
+}
+
 /// The fleet as one of its daemons sees it.
 pub struct Fleet {
     /// Who this daemon is to the others.
@@ -267,7 +275,7 @@
 
     fn wake(&self) {
         // One that is full wakes its receiver as it is; one whose receiver is gone is forgotten.
-        self.waiting.borrow_mut().retain(|w| !w.is_closed() && (w.try_send(()).is_ok() || !w.is_closed()));
+        self.waiting.borrow_mut().retain(|w| w.try_send(()).is_ok() || !w.is_closed());
     }
 
     /// What has changed in the list to act on since this was last asked: a host that is drained here is closed,
@@ -319,12 +327,11 @@
     /// Whether somebody leads, and all is taken in that anybody said to be agreed.
     pub fn is_current(&self) -> bool {
         let table = self.table();
-        let told = table.heard.values().map(|h| h.beat.agreed).max().unwrap_or(0).max(table.status.agreed);
         let led = table.status.leader != 0 && table.status.part;
         // The leader's own word: one that leads no more is not heard as the leader.
         let leader = table.status.leader == table.identity.id
             || table.heard.get(&table.status.leader).is_some_and(|h| h.beat.term == table.status.term);
-        table.removed || table.broken.is_some() || led && leader && table.applied >= told
+        table.removed || table.broken.is_some() || led && leader && table.lag() == 0
     }
 
     /// The agreed settings.
@@ -532,10 +539,9 @@
     /// Says how this daemon's own inventory differs from the agreed one.
     fn compare(&self) {
         let mut table = self.change();
-        let Some((hosts, _)) = &table.files.hosts else { return };
+        let Some((hosts, changed)) = &table.files.hosts else { return };
         let Some(source) = &table.state.inventory else { return };
-        let changed = table.files.hosts.as_ref().map_or(0, |(_, changed)| *changed);
-        if self.compared.replace((changed, source.version)) == (changed, source.version) {
+        if self.compared.replace((*changed, source.version)) == (*changed, source.version) {
             return;
         }
         let differs = Some(table.state.differs(hosts)).filter(|d| *d != (0, 0, 0));
--- a/src/store/disk/tests.rs
+++ b/src/store/disk/tests.rs
@@ -93,15 +93,6 @@
     Image::found(&State { fleet: 7, ..State::default() }, 1)
 }
 
-fn whole(image: &Image) -> Write {
-    Write {
-        hard: Some(image.hard),
-        entries: image.entries.clone(),
-        snapshot: Some(image.snapshot.clone()),
-        dropped: Some(image.dropped),
-    }
-}
-
 /// One write of a random kind, as the agreement makes them.
 fn any_write(rng: &mut fastrand::Rng, image: &Image) -> Write {
     let (last, term) = (image.last().0, image.hard.term);
@@ -136,7 +127,7 @@
             let power = Power::default();
             let (disk, _) = Disk::on(power.clone()).unwrap();
             let mut image = founded();
-            disk.write(&whole(&image), &[]).unwrap();
+            disk.write(&image.whole(), &[]).unwrap();
             power.0.lock().unwrap().left = Some(left);
             let mut lost = None;
             for _ in 0..12 {
@@ -180,7 +171,7 @@
     let path = folder.join("b1.store");
     let id = {
         let (disk, _) = Disk::open(&path).unwrap();
-        disk.write(&whole(&founded()), &[]).unwrap();
+        disk.write(&founded().whole(), &[]).unwrap();
         assert!(Disk::open(&path).err().unwrap().contains("another process has it"));
         disk.identity.id
     };
@@ -207,7 +198,7 @@
         let _ = fs::remove_file(&path);
         let (disk, _) = Disk::open(&path).unwrap();
         let entries = (2..40).map(|i| entry(i, 1, 500)).collect();
-        disk.write(&Write { entries, ..whole(&founded()) }, &[]).unwrap();
+        disk.write(&Write { entries, ..founded().whole() }, &[]).unwrap();
         disk.image().unwrap()
     };
     let wanted = make();
--- a/src/store/owner.rs
+++ b/src/store/owner.rs
@@ -1,10 +1,10 @@
 //! The thread that owns this daemon's part in the agreement and its disk: a queue in, a queue out. A slow disk
 //! holds up nobody but itself.
 
-use super::agreed::{Change, Membership, Proposal, State};
+use super::agreed::{Change, Effect, Membership, Proposal, State};
 use super::disk::{Disk, Held, Identity, Marks, Witness};
 use super::form::{self, Conf, Hard, Letter, NodeId};
-use super::replica::{Applied, Image, Progress, Replica, Write};
+use super::replica::{Applied, Image, Progress, Replica, What, Write};
 use crate::config::Limits;
 use async_channel::{Receiver, Sender};
 use std::collections::BTreeMap;
@@ -275,8 +275,8 @@
         match image.and_then(|image| Replica::new(self.replica.id(), image)) {
             Ok(replica) => {
                 let (digest, index) = (replica.state().digest, replica.applied());
-                let what = super::replica::What::State(Box::new(replica.state().clone()));
-                let effect = super::agreed::Effect::Done;
+                let what = What::State(Box::new(replica.state().clone()));
+                let effect = Effect::Done;
                 self.replica = replica;
                 self.tell(Output::Applied(vec![Applied { index, digest, what, effect }]));
             }
@@ -375,14 +375,8 @@
 
     /// A fleet of this daemon alone begins.
     fn begin(&mut self, image: &Image) {
-        let write = Write {
-            hard: Some(image.hard),
-            entries: Vec::new(),
-            snapshot: Some(image.snapshot.clone()),
-            dropped: Some(image.dropped),
-        };
         self.commit = None;
-        if self.write(&write, &[]) {
+        if self.write(&image.whole(), &[]) {
             self.part = true;
             self.reread();
             self.guarded(Replica::campaign);
--- a/src/store/replica.rs
+++ b/src/store/replica.rs
@@ -72,6 +72,16 @@
         image
     }
 
+    /// The write that puts all of it on an empty disk, or in the place of what is there.
+    pub fn whole(&self) -> Write {
+        Write {
+            hard: Some(self.hard),
+            entries: self.entries.clone(),
+            snapshot: Some(self.snapshot.clone()),
+            dropped: Some(self.dropped),
+        }
+    }
+
     /// Takes in a write whole.
     pub fn take(&mut self, write: &Write) {
         self.hard = write.hard.unwrap_or(self.hard);
