Hand in again what the agreement's full queue turned away

Cause: on reading the change: a drain's mark, and what was learned, were noted as handed to the disk's thread even where its queue was full, and so were never kept; an operator's recovery was answered as done. What is turned away is handed in at the next round, a recovery is refused with a word.

--- a/src/fleet/driver.rs
+++ b/src/fleet/driver.rs
@@ -376,11 +376,14 @@
         all.take(self.limits.members).collect()
     }
 
-    fn tell(&self, input: Input) {
-        // Full: the disk is slow, and what was said here is said again. Letters are lost as on any way.
-        if self.inputs.try_send(input).is_err() {
+    /// Hands something to the agreement's thread; false: its queue is full, the disk is slow. Whoever still means
+    /// it says it again, and letters are lost as on any way.
+    fn tell(&self, input: Input) -> bool {
+        let told = self.inputs.try_send(input).is_ok();
+        if !told {
             log::debug!("store: the queue is full");
         }
+        told
     }
 
     fn spread(&self, frame: &Frame) {
@@ -530,9 +533,9 @@
     /// Keeps drains that are not agreed on the disk.
     fn save(&self) {
         let table = self.table();
-        if self.saving.get() < table.marks.version() {
-            self.saving.set(table.marks.version());
-            self.tell(Input::Marks(table.marks.all(), table.marks.version()));
+        let version = table.marks.version();
+        if self.saving.get() < version && self.tell(Input::Marks(table.marks.all(), version)) {
+            self.saving.set(version);
         }
     }
 
@@ -791,8 +794,11 @@
         let table = self.table();
         let member = Member { name: self.me.name.clone(), address: self.me.address };
         let state = table.state.refound(fastrand::u128(1..), table.identity.id, member);
-        self.tell(Input::Recover(Box::new(state)));
-        Ok(text)
+        if self.tell(Input::Recover(Box::new(state))) {
+            Ok(text)
+        } else {
+            Err("nothing was done: the disk is slow; say it again".into())
+        }
     }
 
     /// Founds a fleet where this daemon is the one to do it.
@@ -880,10 +886,10 @@
             self.tell(Input::Propose(proposal));
         }
         match next {
-            Next::Nothing => {}
+            Next::Nothing => true,
             Next::Propose(change) => self.tell(Input::Members(change)),
             Next::Transfer(to) => self.tell(Input::Transfer(to)),
-        }
+        };
     }
 
     /// How long nothing need be done, if nothing happens: what waits is said again, what rests may rest.
@@ -908,8 +914,9 @@
         }
         let saved = Saved { at: clocks(&self.clock), words: table.learned.words(self.clock.now()) };
         log::debug!("fleet: {} words on hosts are kept", saved.words.len());
-        self.tell(Input::Learned(form::write(&saved)));
-        *self.kept.borrow_mut() = digest;
+        if self.tell(Input::Learned(form::write(&saved))) {
+            *self.kept.borrow_mut() = digest;
+        }
     }
 
     /// Hints for a module that starts: who is believed to be primary where, and first guesses from before.
@@ -932,6 +939,7 @@
             self.open_ways();
             self.lead();
             self.reconcile();
+            self.save();
             if Instant::now() >= keep {
                 keep = Instant::now() + self.limits.keep;
                 self.keep();
@@ -1386,3 +1394,29 @@
         Change::Settings { by, .. } => format!("settings of {by}: {effect:?}"),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::store::{disk::Disk, owner};
+    use std::sync::mpsc::sync_channel;
+
+    /// Guards against a drain that is never kept because the disk was slow in the moment it was said.
+    #[test]
+    fn what_a_full_queue_turned_away_is_handed_in_again() {
+        let limits = Rc::new(Limits::for_sockets(64));
+        let (disk, held) = Disk::in_memory().unwrap();
+        let (opened, ..) = owner::start(disk, held, &limits).unwrap();
+        let (inputs, queue) = sync_channel(1);
+        let me = Me { name: "b1".into(), address: ([127, 0, 0, 1], 1).into(), named: Vec::new() };
+        let fleet = Fleet::new(me, limits, Clock::start(), Rc::default(), opened, inputs);
+        assert!(fleet.tell(Input::TakePart) && !fleet.tell(Input::TakePart));
+        fleet.change().marks.say("s-1", 7, 1);
+        fleet.save();
+        assert!(matches!(queue.try_recv(), Ok(Input::TakePart)));
+        fleet.save();
+        assert!(matches!(queue.try_recv(), Ok(Input::Marks(marks, _)) if marks.len() == 1));
+        fleet.save();
+        assert!(queue.try_recv().is_err(), "it is kept once");
+    }
+}
