--- /dev/null
+++ b/tests/cold_start.rs
@@ -0,0 +1,93 @@
+//! What all drivers of a tier together send to a member that has just started.
+
+mod common;
+
+use brookpass::interface::*;
+use common::*;
+
+const DRIVERS: u32 = 30;
+/// Requests a second that a warm member bears; the tier asks eight tenths of that of each.
+const CAPACITY: f64 = 18.75;
+const WINDOW: Micros = 1_000 * MS;
+const WARM_UP: Micros = 16_000 * MS;
+const COLD_SHARE: f64 = 0.25;
+const MULTIPLE: f64 = 4.0;
+
+fn tier() -> Settings {
+    Settings {
+        drivers: Some(DRIVERS),
+        // All requests are of one kind: each is of mean work.
+        classes: vec![settings().classes[ANY].clone()],
+        second_copies: Some(false),
+        cold_share: Some(COLD_SHARE),
+        warm_up: Some(WARM_UP),
+        fall_multiple: Some(MULTIPLE),
+        tip_after: Some(WINDOW),
+        ..settings()
+    }
+}
+
+/// One driver that has seen what two warm members bear, and then: the second one restarts, the first one leaves, and
+/// after `idle` a burst of requests comes. When it sent to the restarted member, counted from its start.
+fn sent_by(seed: u64, idle: Micros) -> Vec<Micros> {
+    let mut rig = Rig::seeded(tier(), 2, seed);
+    let mut rng = fastrand::Rng::with_seed(seed);
+    rig.pass(rng.i64(1..1_000) * MS);
+    for _ in 0..30 {
+        let (id, sent) = rig.ask(0, 2_000 * MS, None);
+        let to = sends(&sent, id)[0];
+        rig.pass(20 * MS);
+        rig.answer(id, 0, to.ip[3], Outcome::Ok, Some(to == member(1)), 0);
+        rig.pass(980 * MS);
+    }
+    let started = rig.now;
+    let leaves = Entry { availability: Availability::Draining, ..entry(1) };
+    rig.list(ListKind::Delta, vec![leaves, Entry { started_at: Some(started), ..entry(2) }]);
+    rig.pass(idle);
+    let from = rig.log.len();
+    let mut times = Vec::new();
+    let mut seen = from;
+    let mut out: Vec<(Micros, RequestId, u8)> = Vec::new();
+    for step in 0..500 {
+        if step % 20 == 0 {
+            rig.ask(0, 2_000 * MS, None);
+        }
+        rig.pass(5 * MS);
+        for action in rig.log[seen..].to_vec() {
+            if let Action::Send { id, member: to, .. } = action {
+                assert_eq!(to, member(2), "nobody else is in service");
+                times.push(rig.now - started);
+                out.push((rig.now + 20 * MS, id, 0));
+            }
+        }
+        seen = rig.log.len();
+        let (due, rest) = out.into_iter().partition(|(at, ..)| *at <= rig.now);
+        out = rest;
+        for (_, id, attempt) in due {
+            rig.answer(id, attempt, 2, Outcome::Ok, Some(false), 0);
+        }
+        seen = seen.min(rig.log.len());
+    }
+    times
+}
+
+/// Guards against a share of less than one request that becomes one for each driver: what each has saved up adds up
+/// to more than a cold member bears, whenever a burst comes after a pause.
+#[test]
+fn thirty_drivers_together_send_no_more_than_a_cold_member_bears_after_a_pause() {
+    for idle in [0, 500 * MS, 1_000 * MS, 3_000 * MS, 6_000 * MS] {
+        let mut all: Vec<Micros> = (0..u64::from(DRIVERS)).flat_map(|seed| sent_by(seed, idle)).collect();
+        all.sort_unstable();
+        assert!(all.len() > 10, "it is used: {} sends after {idle} us", all.len());
+        for (n, from) in all.iter().enumerate() {
+            let within = all[n..].iter().take_while(|at| **at < from + WINDOW).count();
+            let warmth = COLD_SHARE + (1.0 - COLD_SHARE) * (*from as f64 / WARM_UP as f64).min(1.0);
+            let bears = CAPACITY * warmth * MULTIPLE * WINDOW as f64 / 1e6;
+            let most = bears + 2.0 * bears.sqrt() + 2.0;
+            assert!(
+                within as f64 <= most,
+                "{within} within a second from {from} us on; {most:.1} is the most"
+            );
+        }
+    }
+}
