--- a/src/config.rs
+++ b/src/config.rs
@@ -1,6 +1,6 @@
 //! Limits of the program, filled once at start and handed down.
 
-use crate::interface::Micros;
+use crate::interface::{Class, Micros};
 use std::time::Duration;
 
 /// Every size, count and time that bounds what the program does.
@@ -59,14 +59,22 @@
     pub startup: Duration,
     /// A client that has sent no whole request for so long makes room before one that has.
     pub grace: Duration,
+    /// A request that has waited for so long in the buffer is sent on only if its client is still there; whether
+    /// one that is not read is still there is looked at as often.
+    pub depart: Duration,
     /// Time for a client to take its answer.
     pub write: Duration,
     /// How long discovery may hold a watch.
     pub watch: Duration,
     /// How long discovery may take beyond that.
     pub discovery: Duration,
-    /// How long discovery may take for the whole list: it may have calls of others to answer first.
+    /// How long discovery may hold the call after one that failed.
+    pub recheck: Duration,
+    /// How long discovery may take at the longest, after calls that failed: it may have those of others to answer
+    /// first.
     pub first_list: Duration,
+    /// A process that has a list from before uses it when discovery has said nothing for so long.
+    pub stale_list: Duration,
     /// Calls that discovery had no room for are spread over so long.
     pub overbooked: Duration,
     /// First and longest pause after a failed call to discovery.
@@ -97,6 +105,8 @@
     pub overdue: Duration,
     /// Time between two looks for idle connections.
     pub tidy: Duration,
+    /// A listener's address that another process still has is waited for so long.
+    pub port: Duration,
     /// Pause after a connection could not be taken.
     pub accept: Duration,
     /// Time between two looks at files, and between two exchanges with a peer of the store.
@@ -182,10 +192,11 @@
 const MEMORY_MB: f64 = 192.0;
 /// Connections of operators at once: some say nothing for seconds.
 const DOOR: usize = 16;
-/// What an overbooked discovery was seen to take for a call. One without a subscription must ask again within
-/// four times 10 s of a call that failed.
+/// What an overbooked discovery was seen to take for a call.
 const CALL: Duration = Duration::from_millis(200);
-const ASK_AGAIN: Duration = Duration::from_secs(30);
+/// A change counts as told 6 s after discovery had it and could be reached, whatever became of a call before. In
+/// that time a call that was under way may be given up, a pause passes, and another call is answered.
+const ASK_AGAIN: Duration = Duration::from_millis(2_500);
 /// A pooler that is alone takes nothing new for so long before its end.
 const LAST_CALL: Duration = Duration::from_millis(250);
 /// The longest value.
@@ -231,13 +242,16 @@
             datagram: 256,
             connect: Duration::from_millis(250),
             host_idle: Duration::from_secs(14),
-            startup: Duration::from_secs(2),
+            startup: Duration::from_millis(2_500),
             grace: Duration::from_millis(100),
+            depart: Duration::from_millis(25),
             write: Duration::from_secs(5),
             // A watch that fell silent must be noticed before what it has to tell counts as told all the same.
             watch: Duration::from_secs(2),
             discovery: Duration::from_secs(1),
+            recheck: Duration::from_millis(100),
             first_list: Duration::from_millis(2_500),
+            stale_list: Duration::from_millis(400),
             overbooked: CALL,
             pause: (Duration::from_millis(50), Duration::from_secs(1)),
             margin: Duration::from_millis(4),
@@ -253,6 +267,7 @@
             overdue: Duration::from_millis(10),
             tidy: Duration::from_millis(500),
             accept: Duration::from_millis(5),
+            port: Duration::from_secs(20),
             period: Duration::from_millis(500),
             turn: Duration::from_millis(20),
             look: Duration::from_millis(100),
@@ -308,6 +323,14 @@
         let end = patience.max(self.lame) + Duration::from_millis(550);
         (if alone { self.lame.max(end.saturating_sub(LAST_CALL)) } else { self.lame }, end)
     }
+    /// The longest deadline of these classes is waited for after SIGTERM, whatever a client claims: the platform's
+    /// SIGKILL follows that.
+    pub fn deadlines_at_most(&mut self, classes: &[Class]) {
+        let longest = classes.iter().map(|c| c.deadline).reduce(|a, b| Some(a?.max(b?))).flatten();
+        if let Some(longest) = longest {
+            self.drain = self.drain.min(Duration::from_micros(longest.max(0) as u64));
+        }
+    }
     /// Hosts close connections that stood idle for so many seconds; ours go well before: a request that
     /// crosses such a close may have run.
     pub fn hosts_idle_for(&mut self, seconds: Option<f64>) {
@@ -318,31 +341,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against an end that comes after SIGKILL, and against one that leaves clients alone for nothing.
-    #[test]
-    fn the_end_comes_before_the_kill_and_only_one_that_is_alone_serves_on() {
-        let limits = Limits::for_sockets(64);
-        for patience in
-            [None, Some(-5), Some(1), Some(400_000), Some(930_000), Some(2_500_000), Some(Micros::MAX)]
-        {
-            let (lame, end) = limits.ending(patience, true);
-            let deadline = Duration::from_micros(patience.unwrap_or(0).clamp(450_000, 3_000_000) as u64);
-            assert!(end < deadline + Duration::from_millis(700), "{patience:?}");
-            assert!(lame >= limits.lame && lame + limits.last_answers < end, "{patience:?}");
-            assert_eq!(limits.ending(patience, false), (limits.lame, end), "{patience:?}");
-        }
-        assert!(limits.ending(Some(2_500_000), true).0 > Duration::from_secs(2));
-    }
-
-    /// Guards against sends to a host that drains, where the watch that had to tell it fell silent: whatever
-    /// discovery has to tell counts as told 6 s later.
-    #[test]
-    fn a_watch_that_fell_silent_is_noticed_in_time() {
-        let limits = Limits::for_sockets(64);
-        let noticed = limits.watch + limits.discovery + limits.pause.0 + limits.discovery;
-        assert!(noticed < Duration::from_secs(5), "{noticed:?}");
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/config/tests.rs
@@ -0,0 +1,58 @@
+//! Times that have to fit together.
+
+use super::*;
+
+/// Guards against an end that comes after SIGKILL, and against one that leaves clients alone for nothing.
+#[test]
+fn the_end_comes_before_the_kill_and_only_one_that_is_alone_serves_on() {
+    let limits = Limits::for_sockets(64);
+    for patience in
+        [None, Some(-5), Some(1), Some(400_000), Some(930_000), Some(2_500_000), Some(Micros::MAX)]
+    {
+        let (lame, end) = limits.ending(patience, true);
+        let deadline = Duration::from_micros(patience.unwrap_or(0).clamp(450_000, 3_000_000) as u64);
+        assert!(end < deadline + Duration::from_millis(700), "{patience:?}");
+        assert!(lame >= limits.lame && lame + limits.last_answers < end, "{patience:?}");
+        assert_eq!(limits.ending(patience, false), (limits.lame, end), "{patience:?}");
+    }
+    assert!(limits.ending(Some(2_500_000), true).0 > Duration::from_secs(2));
+}
+
+/// Guards against sends to a host that drains, where the watch that had to tell it fell silent: whatever
+/// discovery has to tell counts as told 6 s later.
+#[test]
+fn a_watch_that_fell_silent_is_noticed_in_time() {
+    let limits = Limits::for_sockets(64);
+    let noticed = limits.watch + limits.discovery + limits.pause.0 + limits.discovery;
+    assert!(noticed < Duration::from_secs(5), "{noticed:?}");
+}
+
+/// Guards against a drain that counts as told while the pooler still waits to call again: a call may just have
+/// begun when discovery can be reached once more, is given up, and the longest pause follows.
+#[test]
+fn a_change_is_heard_within_six_seconds_of_any_call_that_failed() {
+    let mut limits = Limits::for_sockets(64);
+    for poolers in [None, Some(1), Some(30), Some(300), Some(u32::MAX)] {
+        limits.tier(poolers);
+        let pause = (limits.pause.1 * 3 / 2).max(limits.overbooked);
+        let given_up = (limits.watch + limits.discovery).max(limits.recheck + limits.first_list);
+        let heard = given_up + pause + limits.discovery / 2;
+        assert!(heard <= Duration::from_secs(6), "{poolers:?}: {heard:?}");
+    }
+}
+
+/// Guards against an end that follows what a client claims, where the settings say how long any may wait.
+#[test]
+fn the_longest_deadline_of_the_classes_bounds_the_end() {
+    let class = |ms: Option<Micros>| Class { deadline: ms.map(|ms| ms * 1_000), ..Class::default() };
+    let drain = |classes: &[Class]| {
+        let mut limits = Limits::for_sockets(64);
+        limits.deadlines_at_most(classes);
+        limits.drain
+    };
+    let usual = Limits::for_sockets(64).drain;
+    assert_eq!(drain(&[class(Some(500)), class(Some(700))]), Duration::from_millis(700));
+    assert_eq!(drain(&[class(Some(60_000))]), usual);
+    assert_eq!(drain(&[class(Some(500)), class(None)]), usual, "one does not say");
+    assert_eq!(drain(&[]), usual);
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -11,7 +11,7 @@
 use crate::net::hosts::{Hosts, Wire};
 use crate::net::listen::{self, Place, Seats, Welcome};
 use crate::net::until;
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, future};
@@ -19,7 +19,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Where tasks run: one thread serves all sockets.
 pub type Executor = Rc<LocalExecutor<'static>>;
@@ -45,6 +45,18 @@
     while matches!(signals.read(&mut [0]).await, Err(e) if e.kind() == io::ErrorKind::Interrupted) {}
 }
 
+/// Does `work`, unless a signal comes first.
+pub async fn unless_signalled<T>(
+    signals: &mut Async<UnixStream>,
+    work: impl Future<Output = T>,
+) -> Option<T> {
+    future::or(async { Some(work.await) }, async {
+        signalled(signals).await;
+        None
+    })
+    .await
+}
+
 /// Carries out the core's commands for ever; what is not for hosts goes to `other`.
 pub fn carry<W: Wire>(
     executor: &Executor,
@@ -65,20 +77,46 @@
     })
 }
 
+/// A front's listener at work.
+pub struct Accepting {
+    task: Task<()>,
+    stop: Sender<()>,
+}
+
+impl Accepting {
+    /// Goes on without end.
+    fn detach(self) {
+        self.task.detach();
+    }
+
+    /// Takes nothing more; what the kernel holds by then is another process's.
+    async fn abandon(self) {
+        self.task.cancel().await;
+    }
+
+    /// Takes what the kernel holds by now, then nothing more.
+    async fn finish(self) {
+        let _ = self.stop.try_send(());
+        self.task.await;
+    }
+}
+
 /// Takes a front's connections, each in a task of its own.
 pub fn accept<F: Future<Output = ()> + 'static>(
     executor: &Executor,
     listener: Async<TcpListener>,
     seats: &Rc<Seats>,
     serve: impl Fn(Async<TcpStream>, Place, Welcome) -> F + 'static,
-) -> Task<()> {
+) -> Accepting {
     let (seats, executor2) = (seats.clone(), executor.clone());
     let tidy = seats.clone();
     executor.spawn(async move { tidy.tidy().await }).detach();
-    executor.spawn(async move {
+    let (stop, stopped) = async_channel::bounded(1);
+    let task = executor.spawn(async move {
         let spawn = |stream, place, welcome| executor2.spawn(serve(stream, place, welcome)).detach();
-        listen::accept(&listener, &seats, spawn).await;
-    })
+        listen::accept(&listener, &seats, &stopped, spawn).await;
+    });
+    Accepting { task, stop }
 }
 
 /// Opens the operators' door; `more` tells figures beside the core's.
@@ -93,15 +131,35 @@
     ready: &Receiver<()>,
     more: impl Fn() -> String + 'static,
 ) -> Result<(), String> {
-    let listener = listen::open(at).map_err(|e| format!("the operators' address {at}: {e}"))?;
-    log::info!("{name}: operators at http://{}", listener.get_ref().local_addr().unwrap_or(at));
+    let name = name.to_string();
     let door = Rc::new(Door::new(limits, handle.clone(), duty.clone(), ready.clone(), more));
-    let seats = Seats::new(door.limits().clone(), Rc::default());
-    let serving = accept(executor, listener, &seats, move |stream, place, welcome| {
-        let door = door.clone();
-        async move { door.serve(stream, place, welcome).await }
-    });
-    serving.detach();
+    let open = {
+        let executor = executor.clone();
+        move |listener: Async<TcpListener>| {
+            log::info!("{name}: operators at http://{}", listener.get_ref().local_addr().unwrap_or(at));
+            let seats = Seats::new(door.limits().clone(), Rc::default());
+            let serving = accept(&executor, listener, &seats, move |stream, place, welcome| {
+                let door = door.clone();
+                async move { door.serve(stream, place, welcome).await }
+            });
+            serving.detach();
+        }
+    };
+    match listen::open(at) {
+        Ok(listener) => open(listener),
+        // Clients are served meanwhile.
+        Err(e) if e.kind() == io::ErrorKind::AddrInUse => {
+            let limits = limits.clone();
+            let task = async move {
+                match listen::open_when_free(at, &limits).await {
+                    Ok(listener) => open(listener),
+                    Err(e) => log::error!("the operators' address {at}: {e}; there is no door"),
+                }
+            };
+            executor.spawn(task).detach();
+        }
+        Err(e) => return Err(format!("the operators' address {at}: {e}")),
+    }
     Ok(())
 }
 
@@ -116,40 +174,46 @@
     Successor,
 }
 
-/// Serves until SIGTERM, then until all that was taken is answered; an error if the core ends before.
+/// Serves until `ends` tells of SIGTERM, then until all that was taken is answered; an error if the core ends before.
+#[allow(clippy::too_many_arguments)]
 pub async fn until_drained<W, A>(
+    mut ends: Async<UnixStream>,
     limits: &Limits,
     seats: &Seats,
     duty: &Duty,
     handle: &Handle<W, A>,
     leave: Leave,
-    accepting: Task<()>,
+    accepting: Accepting,
     carrying: Task<()>,
 ) -> Result<(), String> {
-    let mut signals = signal(signal_hook::consts::SIGTERM)?;
     let over = async {
         carrying.await;
         Err("the module's thread has ended".to_string())
     };
     let drained = async {
-        signalled(&mut signals).await;
+        signalled(&mut ends).await;
         let began = Instant::now();
         duty.end();
         let (lame, end) = limits.ending(handle.patience(), leave == Leave::Nobody);
-        // Whoever comes now is the successor's, which listens on the same socket.
-        let lame = if leave == Leave::Successor { Duration::ZERO } else { lame };
         let end = began + end;
-        log::info!("SIGTERM: draining, serving for {lame:?} more");
-        // The front layer deals out connections a little longer, and clients use those that they have for as
-        // long as these stay open; all that comes is taken and answered.
-        Timer::at(began + lame).await;
-        accepting.cancel().await;
+        if leave == Leave::Successor {
+            // Whoever comes now is the successor's, which listens on the same socket.
+            log::info!("SIGTERM: draining");
+            accepting.abandon().await;
+        } else {
+            // The front layer deals out connections a little longer, and clients use those that they have for as
+            // long as these stay open; all that comes is taken and answered.
+            log::info!("SIGTERM: draining, serving for {lame:?} more");
+            Timer::at(began + lame).await;
+            accepting.finish().await;
+        }
         seats.close();
         if until(end - limits.last_answers, seats.emptied()).await.is_none() {
             handle.control(Control::End).await;
+            seats.cut_waiting();
             until(end, seats.emptied()).await;
         }
-        log::info!("drained, {} connections left", seats.taken());
+        log::info!("drained, {} connections left", seats.held());
         Ok(())
     };
     future::or(over, drained).await
--- a/src/daemon/operator.rs
+++ b/src/daemon/operator.rs
@@ -338,5 +338,6 @@
     let (breaks, limits2) = (told.breaks.clone(), limits.clone());
     let front = Front { limits: limits2, handle, classes, service, ready: open, duty: duty.clone(), breaks };
     *slot.borrow_mut() = Some(Rc::new(front));
-    until_drained(&limits, &seats, &duty, &ending, Leave::Others, accepting, carrying).await
+    let ends = signal(signal_hook::consts::SIGTERM)?;
+    until_drained(ends, &limits, &seats, &duty, &ending, Leave::Others, accepting, carrying).await
 }
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -1,6 +1,6 @@
 //! On the platform: the PostgreSQL front, with what `GW_CONFIG` names. The SPARQL front is off here.
 
-use super::{Executor, Leave, accept, carry, open_door, signal, signalled, until_drained};
+use super::{Executor, Leave, accept, carry, open_door, signal, signalled, unless_signalled, until_drained};
 use crate::clock::Clock;
 use crate::config::{Limits, Machine};
 use crate::core::classes::Classes;
@@ -42,6 +42,7 @@
     limits.clients_hold(platform.sockets.unwrap_or(1024) / 3);
     limits.tier(platform.settings.drivers);
     limits.hosts_idle_for(platform.conn_idle);
+    limits.deadlines_at_most(&platform.settings.classes);
     if let Some(connect) = platform.settings.connect_timeout {
         limits.connect = Duration::from_micros(connect.max(1) as u64);
     }
@@ -66,10 +67,17 @@
     }
 }
 
+/// SIGTERM came before any connection could be taken.
+fn ended_early() -> Result<(), String> {
+    log::info!("SIGTERM before the first connection");
+    Ok(())
+}
+
 /// Serves until SIGTERM; `path` is the file that `platform` was read from.
 pub async fn serve(path: String, platform: Platform, executor: Executor) -> Result<(), String> {
-    // First of all: without a handler this signal would end the program.
+    // First of all: without a handler these signals would end the program in the midst of what it has taken.
     let hangup = signal(signal_hook::consts::SIGHUP)?;
+    let mut ends = signal(signal_hook::consts::SIGTERM)?;
     let limits = Rc::new(limits(&platform));
     let clock = Clock::start();
     let mut settings = platform.settings;
@@ -83,21 +91,23 @@
     let known = platform.known.is_some();
     if let Some(known) = platform.known {
         hosts_known.borrow_mut().take(&Listing { whole: true, ..known });
-        let list = hosts_known.borrow().listing();
-        handle.control(Control::List { list, cached: true }).await;
     }
     let succeeds = platform.passed.is_some();
     let listener = match &platform.passed {
         Some(number) => {
             Async::new(passed::listener(number)?).map_err(|e| format!("GW_PASSED_SOCKET: {e}"))?
         }
-        None => listen::open(platform.listen).map_err(|e| format!("{}: {e}", platform.listen))?,
+        None => {
+            let opened = listen::open_when_free(platform.listen, &limits);
+            let Some(opened) = unless_signalled(&mut ends, opened).await else { return ended_early() };
+            opened.map_err(|e| format!("{}: {e}", platform.listen))?
+        }
     };
     let peers = Rc::new(Peers::new(platform.peers, platform.peers_all, &limits));
     if let Some(at) = platform.peer_listen {
         match peers.open(at) {
-            // The process that this one replaces still has it.
-            Err(e) if succeeds && e.kind() == io::ErrorKind::AddrInUse => {
+            // A process that this one follows still has it.
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse => {
                 log::info!("{at}: {e}; once it is free")
             }
             opened => opened.map_err(|e| format!("{at}: {e}"))?,
@@ -127,11 +137,20 @@
         executor.spawn(async move { reload(&path, hangup, &discovery, &fetch).await }).detach();
     }
     let (listed, ready) = async_channel::bounded::<()>(1);
+    let heard = Rc::new(Cell::new(false));
     if known {
-        // While discovery is silent the list from before serves: to wait for a newer one would serve nobody.
-        let (listed, wait) = (listed.clone(), limits.ready);
+        // What discovery has to tell counts from the first moment: the list from before serves only while it is
+        // silent, when to wait for a newer one would serve nobody. Until then what comes is held.
+        let (listed, handle, known, heard) =
+            (listed.clone(), handle.clone(), hosts_known.clone(), heard.clone());
+        let (wait, ready) = (limits.stale_list, limits.ready);
         let task = async move {
             Timer::after(wait).await;
+            if !heard.get() {
+                let list = known.borrow().listing();
+                handle.control(Control::List { list, cached: true }).await;
+            }
+            Timer::after(ready.saturating_sub(wait)).await;
             listed.close();
         };
         executor.spawn(task).detach();
@@ -145,8 +164,9 @@
         let (zones, seed) = (platform.zones, platform.seed);
         let task = async move {
             let deliver = |list: Listing| {
-                let (handle, listed, known) = (&handle, &listed, &hosts_known);
+                let (handle, listed, known, heard) = (&handle, &listed, &hosts_known, &heard);
                 async move {
+                    heard.set(true);
                     known.borrow_mut().take(&list);
                     let list = known.borrow().listing();
                     handle.control(Control::List { list, cached: false }).await;
@@ -167,7 +187,10 @@
     });
     if succeeds {
         // Until this process can serve, all clients are the other one's.
-        while ready.recv().await.is_ok() {}
+        let can_serve = async { while ready.recv().await.is_ok() {} };
+        if unless_signalled(&mut ends, can_serve).await.is_none() {
+            return ended_early();
+        }
     }
     let ending = handle.clone();
     let front = Rc::new(Front {
@@ -188,5 +211,5 @@
         true => Leave::Nobody,
         false => Leave::Others,
     };
-    until_drained(&limits, &seats, &duty, &ending, leave, accepting, carrying).await
+    until_drained(ends, &limits, &seats, &duty, &ending, leave, accepting, carrying).await
 }
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -5,7 +5,7 @@
 use std::net::TcpStream;
 
 /// Read at a time.
-const CHUNK: usize = 16 * 1024;
+pub const CHUNK: usize = 16 * 1024;
 /// An empty buffer larger than this gives its memory back: hundreds of connections stand idle.
 const KEEP: usize = 4 * 1024;
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -24,20 +24,38 @@
     rng: Rng,
     limits: &'a Limits,
     pause: Duration,
+    /// How long the next call may take to be answered, beyond what it asks discovery to wait; `None`: none has
+    /// failed since the last answer.
+    patience: Option<Duration>,
 }
 
 impl<'a> Pace<'a> {
     fn new(limits: &'a Limits, seed: u64) -> Pace<'a> {
-        Pace { rng: Rng::with_seed(seed), limits, pause: limits.pause.0 }
+        Pace { rng: Rng::with_seed(seed), limits, pause: limits.pause.0, patience: None }
     }
 
     fn succeeded(&mut self) {
         self.pause = self.limits.pause.0;
+        self.patience = None;
+    }
+
+    /// How long the next call asks discovery to wait for a change, and how long it may take in all. After a failure
+    /// an answer is wanted at once: what discovery has to tell counts whether or not a watch is open, and the time
+    /// in which a call says nothing is lost. It may take longer each time, since it may have others to answer.
+    fn next(&self, is_watch: bool) -> (Duration, Duration) {
+        let Limits { watch, discovery, recheck, .. } = *self.limits;
+        match (is_watch, self.patience) {
+            (true, None) => (watch, watch + discovery),
+            (true, Some(patience)) => (recheck, recheck + patience),
+            (false, patience) => (Duration::ZERO, patience.unwrap_or(discovery)),
+        }
     }
 
     fn failed(&mut self, e: &io::Error) -> Duration {
         let pause = self.pause.mul_f64(0.5 + self.rng.f64());
         self.pause = (self.pause * 2).min(self.limits.pause.1);
+        let patience = self.patience.map_or(self.limits.discovery, |p| p * 2);
+        self.patience = Some(patience.min(self.limits.first_list));
         // It has no room for a call: what waits there is what keeps the others out, so that the poolers of a
         // tier together must call less often than it answers.
         let busy = e.kind() == io::ErrorKind::ResourceBusy;
@@ -70,6 +88,19 @@
     until(Instant::now() + time, work).await.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
 }
 
+/// A list that can be added to what is held. Changes to an older list than that one are changes to something else:
+/// discovery has begun anew, and has to be asked for all.
+fn follows(held: Option<u64>, list: Listing) -> io::Result<Listing> {
+    match held {
+        Some(held) if !list.whole && list.index < held => {
+            let why = format!("the index went back from {held} to {}", list.index);
+            Err(io::Error::new(io::ErrorKind::NotFound, why))
+        }
+        None if !list.whole => Err(bad("changes where the whole list was asked for")),
+        _ => Ok(list),
+    }
+}
+
 /// Watches for ever. `deliver` takes each list; a message on `fetch` asks for the whole list anew, at the
 /// address that `address` then holds. Neither a call nor a pause that is under way holds that up: the old
 /// address may say nothing any more.
@@ -89,34 +120,48 @@
     let mut index = None;
     let mut pace = Pace::new(limits, seed);
     loop {
-        let (path, time) = match index {
-            None => ("/api/targets".to_string(), limits.first_list),
-            Some(after) => {
-                let wait = limits.watch.as_millis();
-                (format!("/api/targets?after={after}&wait_ms={wait}"), limits.watch + limits.discovery)
-            }
+        let (wait, time) = pace.next(index.is_some());
+        let path = match index {
+            None => "/api/targets".to_string(),
+            Some(after) => format!("/api/targets?after={after}&wait_ms={}", wait.as_millis()),
         };
+        let began = Instant::now();
         let answer = async { Some(call(&mut kept, address.get(), &path, limits, time).await) };
         let Some(answer) = future::or(answer, async { asked().await.and(None) }).await else {
-            // The call was dropped half-way: its connection cannot be used again.
+            // The call was dropped half-way: its connection cannot be used again. What failed at another address
+            // says nothing of this one.
             (kept, index) = (None, None);
+            pace.succeeded();
             continue;
         };
         // A list that is out of form must not cost the one that is held: it stays, and the call is repeated.
-        match answer.and_then(|text| json::list(&text, zones).map_err(bad)) {
+        let list = answer.and_then(|text| json::list(&text, zones).map_err(bad));
+        match list.and_then(|list| follows(index, list)) {
             Ok(list) => {
                 pace.succeeded();
                 let changed = !list.entries.is_empty() || list.whole;
+                let is_new = index != Some(list.index);
                 index = Some(list.index);
                 if changed {
                     deliver(list).await;
                 }
+                // One that does not wait must not be called without a pause.
+                if !is_new && began.elapsed() < limits.pause.0 {
+                    let pause = until(Instant::now() + limits.pause.0, asked());
+                    if pause.await.is_some() {
+                        index = None;
+                    }
+                }
             }
             Err(e) => {
                 log::warn!("discovery: {e}; the last list stays");
                 kept = None;
+                if e.kind() == io::ErrorKind::NotFound {
+                    index = None;
+                }
                 if until(Instant::now() + pace.failed(&e), asked()).await.is_some() {
                     index = None;
+                    pace.succeeded();
                 }
             }
         }
@@ -124,40 +169,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against poolers of a tier that come back together to a discovery that has no room for them, and so
-    /// keep it that way.
-    #[test]
-    fn a_tier_that_was_refused_together_spreads_its_calls() {
-        let mut limits = Limits::for_sockets(64);
-        let busy = io::Error::from(io::ErrorKind::ResourceBusy);
-        let calls = |limits: &Limits, e: &io::Error| -> Vec<Duration> {
-            (0..100).map(|seed| Pace::new(limits, seed * 7919).failed(e)).collect()
-        };
-        limits.tier(Some(100));
-        let mut at = calls(&limits, &busy);
-        at.sort();
-        let most =
-            at.iter().map(|a| at.iter().filter(|b| **b >= *a && **b < *a + Duration::from_secs(1)).count());
-        assert!(most.max().unwrap() <= 14, "{at:?}");
-        let mean = at.iter().sum::<Duration>() / 100;
-        assert!((8..12).contains(&mean.as_secs()), "{mean:?}");
-        // One that is silent or noisy is called again soon, but not by all in the same moment.
-        let silent = io::Error::from(io::ErrorKind::TimedOut);
-        let mut soon = calls(&limits, &silent);
-        soon.sort();
-        assert!(soon[99] < Duration::from_millis(100) && soon[99] > soon[0] + Duration::from_millis(20));
-        limits.tier(Some(1));
-        assert!(
-            calls(&limits, &busy).iter().max().unwrap() <= &Duration::from_millis(200),
-            "nobody else calls"
-        );
-        limits.tier(Some(60_000));
-        assert!(
-            limits.overbooked <= Duration::from_secs(30),
-            "within the time in which it must be asked again"
-        );
-    }
-}
+mod tests;
--- a/src/net/http/server.rs
+++ b/src/net/http/server.rs
@@ -114,6 +114,7 @@
         Ok(Heard::More) => Ok(()),
         Ok(Heard::Late) => Err(Next::Refused(408, "no whole request came in time".into())),
         Ok(Heard::Full) => Err(Next::Refused(503, "no room for a message of this length".into())),
+        Ok(Heard::Cut) => Err(Next::Refused(503, "no room for a request that is not whole".into())),
         Ok(Heard::Gone | Heard::Ends) | Err(_) => Err(Next::Over),
     }
 }
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -1,7 +1,7 @@
 //! A client's connection as every front uses it: reads, writes within a time, waits between requests, and
 //! an end that does not lose the last answer.
 
-use super::buffer::Buffer;
+use super::buffer::{Buffer, CHUNK};
 use super::listen::{Place, Standing};
 use super::until;
 use crate::clock::Clock;
@@ -9,14 +9,13 @@
 use crate::interface::Micros;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncWriteExt, future};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use std::collections::VecDeque;
 use std::io::{self, Read};
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 use std::time::Instant;
 
-/// Read at a time of what is passed over.
-const CHUNK: usize = 16 * 1024;
-
 /// What a client did.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Heard {
@@ -26,6 +25,8 @@
     Gone,
     /// It did nothing, and the connection is to end.
     Ends,
+    /// A part of a request has come, and its descriptor is needed at once.
+    Cut,
     /// It has not sent a whole request in time.
     Late,
     /// There is no room for what it sends.
@@ -38,18 +39,50 @@
     place: Place,
     limits: Rc<Limits>,
     clock: Clock,
-    /// When the last bytes came.
-    pub read_at: Micros,
+    connected: Instant,
+    arrivals: Arrivals,
     /// Since when a request is awaited: from the connection for the first, from its first byte for others.
     awaited: Option<Instant>,
-    wrote: Option<Instant>,
+}
+
+/// When the bytes of a connection came: a request that waits behind others in the buffer has its own time.
+#[derive(Default)]
+struct Arrivals {
+    /// Bytes that were read so far.
+    total: u64,
+    /// Up to which byte was read at which time, for what is not used yet.
+    reads: VecDeque<(u64, Micros)>,
+    /// Since when nothing was read, though bytes may have come.
+    paused: Option<Micros>,
+}
+
+impl Arrivals {
+    /// Notes a read. What comes after a pause may have waited for as long as that, until less than a full read is
+    /// there.
+    fn read(&mut self, bytes: usize, now: Micros) {
+        self.total += bytes as u64;
+        self.reads.push_back((self.total, self.paused.unwrap_or(now)));
+        if bytes < CHUNK {
+            self.paused = None;
+        }
+    }
+
+    /// When the last byte came that was used, where so many bytes are not used yet.
+    fn of_used(&mut self, unread: usize) -> Option<Micros> {
+        let used = self.total.saturating_sub(unread as u64);
+        while self.reads.len() > 1 && self.reads.front().is_some_and(|(end, _)| *end < used) {
+            self.reads.pop_front();
+        }
+        self.reads.front().map(|(_, at)| *at)
+    }
 }
 
 impl Link {
     /// Takes a connection over.
     pub fn new(stream: Async<TcpStream>, place: Place, limits: Rc<Limits>, clock: Clock) -> Link {
-        let awaited = Some(Instant::now());
-        Link { read_at: clock.now(), stream, place, limits, clock, awaited, wrote: None }
+        let connected = Instant::now();
+        let (arrivals, awaited) = (Arrivals::default(), Some(connected));
+        Link { stream, place, limits, clock, connected, arrivals, awaited }
     }
 
     /// Whether the connection is to end between requests.
@@ -63,10 +96,30 @@
         self.place.asked();
     }
 
+    /// When the last byte of the request came that was just taken, where so many bytes are not used yet.
+    pub fn arrived(&mut self, unread: usize) -> Micros {
+        self.arrivals.of_used(unread).unwrap_or_else(|| self.clock.now())
+    }
+
+    /// Whether the client has closed its connection, though bytes of it may be unread.
+    pub fn departed(&self) -> bool {
+        let mut polled = [PollFd::new(&self.stream, PollFlags::RDHUP)];
+        let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+        let over = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        poll(&mut polled, Some(&at_once)).is_ok_and(|n| n > 0 && polled[0].revents().intersects(over))
+    }
+
+    /// Whether the client of a request that came at `arrived` has gone meanwhile. It is looked for only where the
+    /// request may have waited to be read.
+    pub fn has_left_since(&self, arrived: Micros) -> bool {
+        let waited = self.clock.now() - arrived >= self.limits.depart.as_micros() as Micros;
+        (waited || !self.place.has_asked()) && self.departed()
+    }
+
     /// Reads once; 0 at the end of the stream.
     pub async fn read(&mut self, into: &mut Buffer) -> io::Result<usize> {
         let n = into.fill(&self.stream).await?;
-        self.read_at = self.clock.now();
+        self.arrivals.read(n, self.clock.now());
         Ok(n)
     }
 
@@ -74,13 +127,13 @@
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         let work = self.stream.write_all(bytes);
         let done = until(Instant::now() + self.limits.write, work).await;
-        self.wrote = Some(Instant::now());
         done.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
     }
 
     /// Waits for bytes where no request is open. With `partial` a part of one has come, `held` bytes of it.
     /// Whoever has yet to send a whole one has so long for it, and may make room for others meanwhile; so may
-    /// who stands between requests.
+    /// who stands between requests. One that is to end may complete what it has begun, and one that has just come
+    /// may ask.
     pub async fn hear(&mut self, partial: bool, held: usize, into: &mut Buffer) -> io::Result<Heard> {
         if !self.place.hold(held) {
             return Ok(Heard::Full);
@@ -93,8 +146,16 @@
         self.place.stands(standing, since);
         let late = self.awaited.map(|at| at + self.limits.startup);
         let (stream, place) = (&self.stream, &self.place);
+        let fresh = (!place.has_asked()).then_some(self.connected + self.limits.grace);
         let ends = async {
+            if partial {
+                place.cut().await;
+                return Ok(Heard::Cut);
+            }
             place.ended().await;
+            if let Some(at) = fresh {
+                future::or(place.cut(), async { _ = Timer::at(at).await }).await;
+            }
             Ok(Heard::Ends)
         };
         let late = async {
@@ -104,18 +165,26 @@
             }
             Ok(Heard::Late)
         };
-        let read = async { into.fill(stream).await.map(|n| if n > 0 { Heard::More } else { Heard::Gone }) };
+        let arrivals = &mut self.arrivals;
+        let clock = &self.clock;
+        let read = async {
+            let n = into.fill(stream).await?;
+            arrivals.read(n, clock.now());
+            Ok(if n > 0 { Heard::More } else { Heard::Gone })
+        };
         // What has come is read before the wish to end is heard.
-        let heard = future::or(read, future::or(ends, late)).await;
-        self.read_at = self.clock.now();
-        heard
+        future::or(read, future::or(ends, late)).await
     }
 
-    /// Reads once behind requests that are open; false: the client has gone. Comes back no more once
-    /// `Limits::ahead` bytes wait.
+    /// Reads once behind requests that are open; false: the client has gone. Once `Limits::ahead` bytes wait it
+    /// reads no more, and only looks whether the client is still there.
     pub async fn more(&mut self, into: &mut Buffer) -> bool {
         if into.unread().len() > self.limits.ahead {
-            future::pending::<()>().await;
+            self.arrivals.paused.get_or_insert(self.clock.now());
+            while !self.departed() {
+                Timer::after(self.limits.depart).await;
+            }
+            return false;
         }
         matches!(self.read(into).await, Ok(n) if n > 0)
     }
@@ -129,11 +198,8 @@
     /// comes meanwhile is passed over, not kept, and not for ever.
     pub async fn linger(&mut self) -> io::Result<()> {
         let (time, mut left) = self.limits.linger;
-        if self.wrote.is_none_or(|at| at.elapsed() > time) {
-            return Ok(());
-        }
         self.place.hold(0);
-        self.place.stands(Standing::Waiting, Instant::now());
+        self.place.stands(Standing::Closing, Instant::now());
         self.stream.get_ref().shutdown(Shutdown::Write)?;
         let (stream, place) = (&self.stream, &self.place);
         let pass = |mut stream: &TcpStream| stream.read(&mut [0; CHUNK]);
@@ -145,7 +211,10 @@
                 left -= n;
             }
         };
-        until(Instant::now() + time, future::or(read, place.ended())).await;
+        until(Instant::now() + time, future::or(read, place.cut())).await;
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/link/tests.rs
@@ -0,0 +1,36 @@
+//! When the bytes of a connection came.
+
+use super::*;
+
+/// Guards against a request that is given the time of whatever was read last: what waits behind others in the buffer
+/// has its own.
+#[test]
+fn a_request_has_the_time_at_which_its_last_byte_was_read() {
+    let mut arrivals = Arrivals::default();
+    assert_eq!(arrivals.of_used(0), None);
+    arrivals.read(100, 1_000);
+    arrivals.read(50, 2_000);
+    arrivals.read(10, 3_000);
+    assert_eq!(arrivals.of_used(100), Some(1_000), "60 of the first 100 are used");
+    assert_eq!(arrivals.of_used(60), Some(1_000), "all of the first 100");
+    assert_eq!(arrivals.of_used(59), Some(2_000), "one more");
+    assert_eq!(arrivals.of_used(0), Some(3_000));
+    arrivals.read(1, 9_000);
+    assert_eq!(arrivals.of_used(0), Some(9_000));
+    assert_eq!(arrivals.reads.len(), 1, "what is used up is forgotten");
+}
+
+/// Guards against time that a request spent unread in the system, while enough waited before it.
+#[test]
+fn what_is_read_after_a_pause_may_have_waited_since_it_began() {
+    let mut arrivals = Arrivals::default();
+    arrivals.read(CHUNK, 1_000);
+    arrivals.paused.get_or_insert(2_000);
+    arrivals.paused.get_or_insert(2_500);
+    arrivals.read(CHUNK, 8_000);
+    arrivals.read(7, 8_500);
+    assert_eq!(arrivals.of_used(7), Some(2_000));
+    assert_eq!(arrivals.of_used(0), Some(2_000), "the system had more than one read");
+    arrivals.read(5, 9_000);
+    assert_eq!(arrivals.of_used(0), Some(9_000), "by then it had no more");
+}
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -30,8 +30,13 @@
     Idle,
     /// A request is open.
     Busy,
+    /// Nothing more is written; what the client still sends is read and dropped.
+    Closing,
 }
 
+/// Connections that may still be taken from the kernel's queue once the listener closes: as many as it holds.
+const BACKLOG: usize = 128;
+
 struct Seat {
     /// Where it stands, since when.
     stands: Cell<(Standing, Instant)>,
@@ -39,6 +44,24 @@
     asked: Cell<u32>,
     /// Closed: the connection is to end between two requests.
     end: Sender<()>,
+    /// Closed: its descriptor is needed at once, whatever has come of the next request.
+    cut: Sender<()>,
+}
+
+impl Seat {
+    fn cut(&self) {
+        self.end.close();
+        self.cut.close();
+    }
+
+    fn is_closing(&self) -> bool {
+        self.stands.get().0 == Standing::Closing && !self.cut.is_closed()
+    }
+}
+
+/// The connection that has been closing for the longest.
+fn longest_closing(seats: &BTreeMap<u64, Rc<Seat>>) -> Option<&Rc<Seat>> {
+    seats.values().filter(|s| s.is_closing()).min_by_key(|s| s.stands.get().1)
 }
 
 /// The connections of one front.
@@ -47,7 +70,8 @@
     duty: Rc<Duty>,
     next: Cell<u64>,
     taken: RefCell<BTreeMap<u64, Rc<Seat>>>,
-    turned_away: Cell<usize>,
+    /// Connections that are only told that there are too many.
+    turned_away: RefCell<BTreeMap<u64, Rc<Seat>>>,
     /// Bytes that long messages of clients hold.
     held: Cell<usize>,
     /// A message when a connection has left.
@@ -58,9 +82,11 @@
 pub struct Place {
     seats: Rc<Seats>,
     number: u64,
-    seat: Option<Rc<Seat>>,
+    seat: Rc<Seat>,
+    welcome: Welcome,
     held: usize,
     end: Receiver<()>,
+    cut: Receiver<()>,
 }
 
 impl Seats {
@@ -71,7 +97,7 @@
             duty,
             next: Cell::new(0),
             taken: RefCell::default(),
-            turned_away: Cell::new(0),
+            turned_away: RefCell::default(),
             held: Cell::new(0),
             left: async_channel::bounded(1),
         })
@@ -82,26 +108,45 @@
         self.taken.borrow().len()
     }
 
-    /// Comes back when no connection is served.
+    /// Connections that are held now, those that are turned away included.
+    pub fn held(&self) -> usize {
+        self.taken() + self.turned_away.borrow().len()
+    }
+
+    /// Comes back when no connection is held: one that is told that there are too many is owed that answer.
     pub async fn emptied(&self) {
-        while self.taken() > 0 {
+        while self.held() > 0 {
             let _ = self.left.1.recv().await;
         }
     }
 
-    /// Asks every connection to end as soon as it stands between requests.
+    /// Asks every connection to end as soon as it stands between requests. One that has sent a part of a request
+    /// may complete it.
     pub fn close(&self) {
         for seat in self.taken.borrow().values() {
             seat.end.close();
         }
     }
 
+    /// Ends every connection that has sent no more than a part of a request.
+    pub fn cut_waiting(&self) {
+        for seat in self.taken.borrow().values().filter(|s| s.stands.get().0 == Standing::Waiting) {
+            seat.cut();
+        }
+    }
+
     /// Clients keep connections that they do not use, and some connect and say nothing: one of these ends for a
-    /// new one. Those that have not sent a whole request in a while go before those that have, the longest
-    /// first. Until it has ended both hold descriptors, out of the share of those that are turned away.
+    /// new one. Those that are being closed go first, then those that have not sent a whole request in a while,
+    /// then those that have, the longest first. Until it has ended both hold descriptors, out of the share of
+    /// those that are turned away; when half of that is in use it has no time to be closed in good order.
     fn make_room(&self) -> bool {
         let taken = self.taken.borrow();
-        if taken.len() + self.turned_away.get() >= self.limits.clients + self.limits.turned_away {
+        let (held, limits) = (taken.len() + self.turned_away.borrow().len(), &self.limits);
+        let closing = longest_closing(&taken);
+        if let Some(seat) = closing {
+            seat.cut();
+        }
+        if held >= limits.clients + limits.turned_away {
             return false;
         }
         let longest = |wanted| {
@@ -110,9 +155,15 @@
             open.min_by_key(|s| (s.asked.get() > 1, s.stands.get().1))
         };
         let silent = longest(Standing::Waiting);
-        let ripe = silent.filter(|s| s.stands.get().1.elapsed() >= self.limits.grace);
+        let ripe = silent.filter(|s| s.stands.get().1.elapsed() >= limits.grace);
         let goes = ripe.or_else(|| longest(Standing::Idle)).or(silent);
-        goes.is_some_and(|seat| seat.end.close())
+        if let Some(seat) = goes.filter(|_| closing.is_none()) {
+            seat.end.close();
+            if seat.stands.get().0 == Standing::Waiting || held >= limits.clients + limits.turned_away / 2 {
+                seat.cut();
+            }
+        }
+        closing.or(goes).is_some()
     }
 
     /// Lets clients go while the pooler is drained, once the front layer has stopped to deal out connections: each
@@ -120,8 +171,10 @@
     fn let_go(&self) {
         for seat in self.taken.borrow().values() {
             let (standing, since) = seat.stands.get();
-            if standing != Standing::Waiting || since.elapsed() >= self.limits.startup / 2 {
-                seat.end.close();
+            match standing {
+                Standing::Idle | Standing::Busy => drop(seat.end.close()),
+                Standing::Waiting if since.elapsed() >= self.limits.startup / 2 => seat.cut(),
+                Standing::Waiting | Standing::Closing => {}
             }
         }
     }
@@ -164,46 +217,54 @@
     }
 
     fn seat(self: &Rc<Seats>) -> Option<(Place, Welcome)> {
-        let (sender, end) = async_channel::bounded(1);
+        let mut welcome = Welcome::Served;
         if self.taken() >= self.limits.clients && !self.make_room() {
             // A connection that took an idle one's place before that had ended holds a share of these too.
-            if self.taken() + self.turned_away.get() >= self.limits.clients + self.limits.turned_away {
+            if self.held() >= self.limits.clients + self.limits.turned_away {
+                if let Some(seat) = longest_closing(&self.turned_away.borrow()) {
+                    seat.cut();
+                }
                 return None;
             }
-            self.turned_away.set(self.turned_away.get() + 1);
-            return Some((
-                Place { seats: self.clone(), number: 0, seat: None, held: 0, end },
-                Welcome::TurnedAway,
-            ));
+            welcome = Welcome::TurnedAway;
         }
-        let seat = Rc::new(Seat {
-            stands: Cell::new((Standing::Waiting, Instant::now())),
-            asked: Cell::new(0),
-            end: sender,
-        });
+        let ((end, ended), (cut, was_cut)) = (async_channel::bounded(1), async_channel::bounded(1));
+        let stands = Cell::new((Standing::Waiting, Instant::now()));
+        let seat = Rc::new(Seat { stands, asked: Cell::new(0), end, cut });
         let number = self.next.get();
         self.next.set(number + 1);
-        self.taken.borrow_mut().insert(number, seat.clone());
-        Some((Place { seats: self.clone(), number, seat: Some(seat), held: 0, end }, Welcome::Served))
+        self.seats(welcome).borrow_mut().insert(number, seat.clone());
+        Some((
+            Place { seats: self.clone(), number, seat, welcome, held: 0, end: ended, cut: was_cut },
+            welcome,
+        ))
+    }
+
+    fn seats(&self, welcome: Welcome) -> &RefCell<BTreeMap<u64, Rc<Seat>>> {
+        match welcome {
+            Welcome::Served => &self.taken,
+            Welcome::TurnedAway => &self.turned_away,
+        }
     }
 }
 
 impl Place {
     /// Notes where the connection stands, since when.
     pub fn stands(&self, standing: Standing, since: Instant) {
-        if let Some(seat) = &self.seat {
-            seat.stands.set((standing, since));
-        }
+        self.seat.stands.set((standing, since));
     }
 
     /// Notes that a whole request has come.
     pub fn asked(&self) {
-        if let Some(seat) = &self.seat {
-            seat.asked.set(seat.asked.get().saturating_add(1));
-        }
+        self.seat.asked.set(self.seat.asked.get().saturating_add(1));
         self.stands(Standing::Busy, Instant::now());
     }
 
+    /// Whether a whole request has come.
+    pub fn has_asked(&self) -> bool {
+        self.seat.asked.get() > 0
+    }
+
     /// Notes how many bytes of a message it holds; false: there is no room for so many.
     pub fn hold(&mut self, bytes: usize) -> bool {
         let limits = &self.seats.limits;
@@ -226,19 +287,19 @@
     pub async fn ended(&self) {
         while self.end.recv().await.is_ok() {}
     }
+
+    /// Comes back when its descriptor is needed at once.
+    pub async fn cut(&self) {
+        while self.cut.recv().await.is_ok() {}
+    }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
         self.hold(0);
-        match &self.seat {
-            Some(_) => {
-                self.seats.taken.borrow_mut().remove(&self.number);
-                // One message is enough for whoever waits.
-                let _ = self.seats.left.0.try_send(());
-            }
-            None => self.seats.turned_away.set(self.seats.turned_away.get().saturating_sub(1)),
-        }
+        self.seats.seats(self.welcome).borrow_mut().remove(&self.number);
+        // One message is enough for whoever waits.
+        let _ = self.seats.left.0.try_send(());
     }
 }
 
@@ -247,15 +308,45 @@
     Async::<TcpListener>::bind(address)
 }
 
-/// Takes connections for ever, each within its place.
+/// Opens a listener; waits for an address that another process still has, within a bound.
+pub async fn open_when_free(address: SocketAddr, limits: &Limits) -> io::Result<Async<TcpListener>> {
+    let end = Instant::now() + limits.port;
+    let mut told = false;
+    loop {
+        match open(address) {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse && Instant::now() < end => {
+                if !std::mem::replace(&mut told, true) {
+                    log::warn!("{address}: {e}; waiting for it, {:?} at the most", limits.port);
+                }
+                Timer::after(limits.relief).await;
+            }
+            opened => return opened,
+        }
+    }
+}
+
+/// Takes connections, each within its place, until there is a message on `stop`; those that the kernel has taken by
+/// then are still served.
 pub async fn accept(
     listener: &Async<TcpListener>,
     seats: &Rc<Seats>,
+    stop: &Receiver<()>,
     mut serve: impl FnMut(Async<TcpStream>, Place, Welcome),
 ) {
+    let stopped = async {
+        if stop.recv().await.is_err() {
+            future::pending::<()>().await;
+        }
+        None
+    };
+    futures_lite::pin!(stopped);
+    let mut last = BACKLOG;
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
+        // The kernel's queue is looked at before the wish to stop.
+        let taken = async { Some(listener.accept().await) };
+        match future::or(taken, &mut stopped).await {
+            None => return,
+            Some(Ok((stream, _))) => {
                 let _ = stream.get_ref().set_nodelay(true);
                 match seats.seat() {
                     Some((place, welcome)) => serve(stream, place, welcome),
@@ -264,131 +355,20 @@
                 // Those that were just taken are read, and those that make room end, before the next is taken.
                 future::yield_now().await;
             }
-            Err(e) => {
+            Some(Err(e)) => {
                 // Out of descriptors or a connection that ended before it was taken: not the end of the front.
                 log::warn!("accept: {e}");
                 Timer::after(seats.limits.accept).await;
             }
         }
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::config::Machine;
-
-    /// Guards against a front that runs out of descriptors, and against clients that are shut out by idle ones.
-    #[test]
-    fn the_longest_idle_makes_room_and_the_rest_are_told() {
-        let limits = Limits { clients: 2, turned_away: 1, ..Limits::for_sockets(64) };
-        let seats = Seats::new(Rc::new(limits), Rc::default());
-        let take = || seats.seat().map(|(place, welcome)| (place, welcome == Welcome::Served));
-        let (first, second) = (take().unwrap(), take().unwrap());
-        let busy = |place: &Place| place.stands(Standing::Busy, Instant::now());
-        [&first.0, &second.0].into_iter().for_each(busy);
-        assert!(first.1 && second.1);
-        let turned_away = take().unwrap();
-        assert!(!turned_away.1, "none is idle");
-        assert!(take().is_none(), "nor is there room to say so");
-        drop(turned_away);
-        second.0.stands(Standing::Idle, Instant::now());
-        let third = take().unwrap();
-        busy(&third.0);
-        assert!(third.1 && second.0.ends() && !first.0.ends());
-        assert!(take().is_none(), "the idle one has not ended yet");
-        drop(second);
-        assert_eq!(seats.taken(), 2);
-    }
-
-    /// Guards against hundreds of connections that say nothing and shut out those that ask.
-    #[test]
-    fn those_that_say_nothing_make_room_first() {
-        let limits = Limits { clients: 3, turned_away: 1, ..Limits::for_sockets(64) };
-        let (grace, seats) = (limits.grace, Seats::new(Rc::new(limits), Rc::default()));
-        let take = || seats.seat().map(|(place, _)| place).unwrap();
-        let (idle, silent, busy) = (take(), take(), take());
-        let ago = |span| Instant::now().checked_sub(span).unwrap();
-        idle.stands(Standing::Idle, ago(grace * 9));
-        busy.stands(Standing::Busy, ago(grace * 9));
-        silent.stands(Standing::Waiting, ago(grace * 2));
-        let new = take();
-        assert!(silent.ends() && !idle.ends());
-        drop(silent);
-        new.stands(Standing::Waiting, Instant::now());
-        let newer = take();
-        assert!(idle.ends() && !new.ends(), "one that has just come may still ask");
-        drop(idle);
-        newer.stands(Standing::Busy, Instant::now());
-        let _newest = take();
-        assert!(new.ends() && !busy.ends() && !newer.ends());
-    }
-
-    /// Guards against those that ask once and stay: clients hold only so many connections, and those that go on
-    /// asking would find none.
-    #[test]
-    fn idle_connections_end_and_in_a_crowd_those_that_asked_once_go_first() {
-        let limits = Limits { clients: 9, crowded: 3, ..Limits::for_sockets(64) };
-        let (grace, long, seats) =
-            (limits.grace, limits.client_idle, Seats::new(Rc::new(limits), Rc::default()));
-        let take = |asked: u32, idle: std::time::Duration| {
-            let (place, _) = seats.seat().unwrap();
-            (0..asked).for_each(|_| place.asked());
-            place.stands(Standing::Idle, Instant::now().checked_sub(idle).unwrap());
-            place
-        };
-        let ended = |places: &[Place]| places.iter().map(Place::ends).collect::<Vec<_>>();
-        let mut places = vec![take(5, grace * 3), take(1, grace * 2), take(1, grace * 4)];
-        seats.relieve();
-        assert_eq!(ended(&places), [false, false, false], "three are no crowd");
-        places.extend([take(1, grace / 9), take(2, grace * 5)]);
-        seats.relieve();
-        assert_eq!(ended(&places), [false, true, true, false, false], "all that asked once a while ago");
-        places.push(take(7, long));
-        seats.relieve();
-        assert!(places[5].ends() && !places[0].ends() && !places[4].ends());
-        let (silent, _) = seats.seat().unwrap();
-        silent.stands(Standing::Waiting, Instant::now().checked_sub(long).unwrap());
-        seats.relieve();
-        assert!(!silent.ends(), "its own time is looked at elsewhere");
-    }
-
-    /// Guards against clients whose long messages together take more memory than there is.
-    #[test]
-    fn long_messages_share_one_budget() {
-        let limits = Limits { small: 10, held: 100, ..Limits::for_sockets(64) };
-        let seats = Seats::new(Rc::new(limits), Rc::default());
-        let take = || seats.seat().map(|(place, _)| place).unwrap();
-        let (mut one, mut two) = (take(), take());
-        assert!(one.hold(60) && two.hold(10) && two.hold(40) && one.hold(50));
-        assert!(!two.hold(51), "there is room for 50");
-        drop(one);
-        assert!(two.hold(100));
-        assert!(two.hold(0));
-        assert_eq!(seats.held.get(), 0);
-    }
-
-    #[test]
-    fn the_limits_add_up_to_what_the_process_may_hold() {
-        for sockets in [64, 256, 384, 1024, 20_000] {
-            let platform = Machine::platform(Some(sockets), Some(32.0));
-            let half = platform.half().with_door();
-            for machine in [Machine::operator(sockets), platform, platform.with_door(), half] {
-                let l = Limits::on(machine);
-                let (door, sockets) = (l.for_door(), machine.sockets);
-                if machine.reserved + 16 <= sockets {
-                    assert!(l.clients + l.turned_away + l.hosts + machine.reserved <= sockets, "{machine:?}");
-                }
-                assert!(l.clients > 0 && l.turned_away > 0 && l.hosts > 0, "{machine:?}");
-                assert_eq!(door.clients > 0, machine.door, "{machine:?}");
-                assert!(
-                    platform.reserved + door.clients + door.turned_away < machine.reserved || !machine.door
-                );
-                // Clients hold at most a third for requests, and each of these may have an attempt out.
-                let third = sockets.saturating_sub(machine.reserved) / 3;
-                assert!(l.clients >= third && l.hosts >= third, "{machine:?}");
-                assert!(l.held * 5 <= (machine.memory_mb * 1024.0 * 1024.0) as usize, "{machine:?}");
+        if !stop.is_empty() {
+            last -= 1;
+            if last == 0 {
+                return;
             }
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/pg/front.rs
+++ b/src/net/pg/front.rs
@@ -166,12 +166,13 @@
     /// writes behind another request has its own time, and must not lose it in waiting for that one.
     async fn run(&mut self) -> io::Result<()> {
         loop {
-            self.take().await;
+            self.take().await?;
             match self.due.front() {
                 None => match self.hear().await? {
                     Heard::More => {}
                     Heard::Gone => return Ok(()),
                     Heard::Ends => return self.link.linger().await,
+                    Heard::Cut => return self.end("57P03", "no room for a request that is not whole").await,
                     Heard::Late => return self.end("57P05", "no whole request came in time").await,
                     Heard::Full => return self.end("53200", "no room for a message of this length").await,
                 },
@@ -180,8 +181,19 @@
                     self.due.pop_front();
                 }
                 Some(Due::Ready) => {
-                    let ready = async { while self.front.ready.recv().await.is_ok() {} };
-                    until(Instant::now() + self.front.limits.ready, ready).await;
+                    let ready = async {
+                        while self.front.ready.recv().await.is_ok() {}
+                        true
+                    };
+                    let (link, input) = (&mut self.link, self.session.input());
+                    let gone = async {
+                        link.gone(input).await;
+                        false
+                    };
+                    let end = Instant::now() + self.front.limits.ready;
+                    if until(end, future::or(ready, gone)).await == Some(false) {
+                        return Ok(());
+                    }
                     // To one that is drained the front layer must bring no one new.
                     let bytes = match self.front.duty.state() {
                         Stands::Drained => failure("57P03", "drained: clients are to go elsewhere"),
@@ -247,18 +259,18 @@
         Ok(())
     }
 
-    /// Takes what has come whole, within the limits of a connection.
-    async fn take(&mut self) {
+    /// Takes what has come whole, within the limits of a connection. An error: its client has gone.
+    async fn take(&mut self) -> io::Result<()> {
         loop {
             let long = |due: &Due| if let Due::Last(open) = due { open.length } else { 0 };
             // Answers to bad input are many and short; those of requests are bounded by the session.
             if self.due.iter().map(long).sum::<usize>() > self.front.limits.ahead
                 || self.due.len() > self.front.limits.pipeline * 2
             {
-                return;
+                return Ok(());
             }
             let due = match self.session.step() {
-                Step::Wait => return,
+                Step::Wait => return Ok(()),
                 Step::Write(bytes) => Due::Bytes(bytes),
                 Step::Close(bytes) => Due::End(bytes),
                 Step::Ready => {
@@ -266,8 +278,12 @@
                     Due::Ready
                 }
                 Step::Query(text) => {
+                    let arrived = self.link.arrived(self.session.input().unread().len());
+                    if self.link.has_left_since(arrived) {
+                        return Err(io::ErrorKind::ConnectionAborted.into());
+                    }
                     self.link.taken();
-                    match self.query(&text).await {
+                    match self.query(&text, arrived).await {
                         Ok(open) => Due::Last(open),
                         Err(bytes) => {
                             self.session.answered();
@@ -289,8 +305,8 @@
         self.link.linger().await
     }
 
-    /// Hands in a statement; the error is its answer at once.
-    async fn query(&self, text: &str) -> Result<Open, Vec<u8>> {
+    /// Hands in a statement that came at `arrived`; the error is its answer at once.
+    async fn query(&self, text: &str, arrived: Micros) -> Result<Open, Vec<u8>> {
         let statement = statement::parse(text).map_err(|why| {
             log::warn!("client: {why}");
             failure("42601", &why)
@@ -305,7 +321,7 @@
         };
         let limits = &self.front.limits;
         let margin = limits.margin.as_micros() as Micros;
-        let deadline = self.link.read_at + (statement.patience - margin).max(0);
+        let deadline = arrived + (statement.patience - margin).max(0);
         let submitted = self.front.handle.submit(ask, deadline, Arc::new(statement)).await;
         let again = || refusal("the pooler is ending", Some(limits.again.as_millis() as i64));
         let (id, reply) = submitted.ok_or_else(again)?;
--- a/src/net/sparql/front.rs
+++ b/src/net/sparql/front.rs
@@ -152,10 +152,14 @@
         };
         let commit = operation.position.filter(|_| !operation.update);
         if let Some(position) = commit.and_then(|at| self.breaks.borrow().lost(ask.group, at)) {
-            return serve(link, request, lost(position)).await;
+            return serve(link, buffer, request, lost(position)).await;
         }
         let margin = self.limits.margin.as_micros() as Micros;
-        let deadline = link.read_at + (patience - margin).max(0);
+        let arrived = link.arrived(buffer.unread().len());
+        if link.departed() {
+            return Ok(After::Cut);
+        }
+        let deadline = arrived + (patience - margin).max(0);
         let Some((id, reply)) = self.handle.submit(ask, deadline, Arc::new(operation)).await else {
             let again = Some(self.limits.again.as_micros() as Micros);
             return reply(link, true, refusal(again, "the pooler is ending")).await;
@@ -169,7 +173,7 @@
             self.handle.input(Input::Lapsed(id)).await;
             return Ok(After::Cut);
         };
-        let written = self.answer(link, request, last).await;
+        let written = self.answer(link, buffer, request, last).await;
         if !matches!(written, Ok(After::Open | After::Close)) {
             // Whatever is still on its way for this client ends now.
             self.handle.input(Input::Lapsed(id)).await;
@@ -203,9 +207,15 @@
     }
 
     /// Writes the final answer.
-    async fn answer(&self, link: &mut Link, request: &Request, last: Final<Answer>) -> io::Result<After> {
+    async fn answer(
+        &self,
+        link: &mut Link,
+        buffer: &mut Buffer,
+        request: &Request,
+        last: Final<Answer>,
+    ) -> io::Result<After> {
         let bytes = match last {
-            Final::Served(answer) => return serve(link, request, answer).await,
+            Final::Served(answer) => return serve(link, buffer, request, answer).await,
             Final::Refused { overdue: true, .. } | Final::Failed { overdue: true } => {
                 server::answer(504, &[], "no answer came in time")
             }
@@ -223,7 +233,7 @@
     Ok(if ends { After::Close } else { After::Open })
 }
 
-async fn serve(link: &mut Link, request: &Request, answer: Answer) -> io::Result<After> {
+async fn serve(link: &mut Link, buffer: &mut Buffer, request: &Request, answer: Answer) -> io::Result<After> {
     let Answer { status, headers, content } = answer;
     let mut headers: Vec<(&str, &str)> = headers.iter().map(|(n, v)| (n.as_str(), v.as_str())).collect();
     match content {
@@ -244,7 +254,16 @@
         Content::Parts(parts) => {
             headers.push(("Transfer-Encoding", "chunked"));
             link.write(&server::answer_head(status, &headers)).await?;
-            while let Ok(part) = parts.recv().await {
+            loop {
+                let next = async { Ok(parts.recv().await) };
+                let more = async { Err(link.more(buffer).await) };
+                let part = match future::or(next, more).await {
+                    Ok(Ok(part)) => part,
+                    Ok(Err(_)) => break,
+                    Err(true) => continue,
+                    // A host that stalls must not hold an attempt for a client that has gone.
+                    Err(false) => return Ok(After::Cut),
+                };
                 if part.is_empty() {
                     link.write(b"0\r\n\r\n").await?;
                     return Ok(if request.keeps_open() { After::Open } else { After::Close });
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -53,7 +53,7 @@
             rig.ask(0, 2_000 * MS, None);
         }
         rig.pass(5 * MS);
-        for action in rig.log[seen..].to_vec() {
+        for action in rig.log[seen..].iter().cloned() {
             if let Action::Send { id, member: to, .. } = action {
                 assert_eq!(to, member(2), "nobody else is in service");
                 times.push(rig.now - started);
--- a/tests/sparql.rs
+++ b/tests/sparql.rs
@@ -19,6 +19,10 @@
     Silence,
     /// Begins a long answer; ends it, or breaks off.
     Long(usize, bool),
+    /// Begins a long answer, then says nothing until the other side closes.
+    LongThenSilence(usize),
+    /// Answers without a length, and resets the connection.
+    ResetWithoutLength,
 }
 
 /// A host that speaks SPARQL over HTTP and answers from whatever data it has.
@@ -70,6 +74,26 @@
                 let _ = gone.lock().unwrap().send(read_http(&mut reader).is_none());
                 return None;
             }
+            Does::ResetWithoutLength => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nBrookpass-Role: {role}\r\nBrookpass-Position: {position}\r\n\r\n"
+                );
+                writer.write_all(head.as_bytes()).ok()?;
+                writer.write_all(b"half of it").ok()?;
+                // A close without lingering is a reset.
+                rustix::net::sockopt::set_socket_linger(&writer, Some(std::time::Duration::ZERO)).ok()?;
+                return None;
+            }
+            Does::LongThenSilence(size) => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nContent-Length: {size}\r\nBrookpass-Role: {role}\r\n\
+                     Brookpass-Position: {position}\r\n\r\n"
+                );
+                writer.write_all(head.as_bytes()).ok()?;
+                writer.write_all(&vec![b'x'; size - 1]).ok()?;
+                let _ = gone.lock().unwrap().send(read_http(&mut reader).is_none());
+                return None;
+            }
             Does::Long(size, ends) => {
                 let head = format!(
                     "HTTP/1.1 200 OK\r\nContent-Length: {size}\r\nBrookpass-Role: {role}\r\n\
@@ -618,3 +642,31 @@
     }
     assert!(began.elapsed().as_millis() < 3_000, "each of them was told or closed in time");
 }
+
+/// Guards against an attempt that a host keeps waiting in the midst of a long answer, for a client that has gone.
+#[test]
+fn a_client_that_goes_in_the_midst_of_a_long_answer_ends_the_attempt() {
+    let host = Host::start(true, 0, |_| Some(Does::LongThenSilence(3 * 1024 * 1024)));
+    let folder = files("leaves-long", &[("h", host.address)], &[]);
+    let running = start(&folder);
+    let mut client = HttpClient::connect(running.front);
+    client.send(&query(""));
+    let mut some = vec![0; 64 * 1024];
+    std::io::Read::read_exact(&mut client.reader, &mut some).unwrap();
+    let began = std::time::Instant::now();
+    // It goes on reading until nothing more comes, then closes.
+    client.reader.get_ref().set_read_timeout(Some(std::time::Duration::from_millis(300))).unwrap();
+    while matches!(std::io::Read::read(&mut client.reader, &mut some), Ok(n) if n > 0) {}
+    drop(client);
+    assert_eq!(host.dropped.recv_timeout(PATIENCE), Ok(true));
+    assert!(began.elapsed().as_secs() < 5, "a host's stall is not waited for: {:?}", began.elapsed());
+}
+
+/// Guards against a reset that passes for the end of an answer without a length.
+#[test]
+fn a_reset_is_no_end_of_an_answer_without_a_length() {
+    let host = Host::start(true, 0, |_| Some(Does::ResetWithoutLength));
+    let running = start(&files("resets", &[("p", host.address)], &[]));
+    let answer = call(running.front, &update(""));
+    assert_eq!((answer.status(), host.count()), (502, 1), "{}", String::from_utf8_lossy(&answer.body));
+}
