--- a/src/choice.rs
+++ b/src/choice.rs
@@ -923,19 +923,20 @@
         harmless && left && now < r.end && !r.streaming && r.errors < BAD
     }
 
-    /// A cold member falls over when all drivers together send it too much. Each driver gives it the most
-    /// answers that it saw come from a member of its size, less than such a one bears, times its warmth and
-    /// the multiple. With many drivers that is less than one send in a warm-up: each starts at a point of its
-    /// own between two sends, and one that is saved up lapses, or those of all would come at once. What is
+    /// A cold member falls over when all drivers together send it too much. Each gives it the most answers
+    /// that it saw come from a member of its size, less than such a one bears, times its warmth and the
+    /// multiple. With many drivers that is less than one send in a warm-up: each starts at its own point,
+    /// and a send that is saved up lapses: all may have saved what counts as chance, 2 root of N + 2. What is
     /// sent just now would not do for the pace: where only cold members are left it follows the demand.
     fn allowance(&self, now: Micros, m: &Member) -> f64 {
         let warmth = self.warmth(now, m);
         let (Some(multiple), true) = (self.settings.fall_multiple, warmth < 1.0) else { return f64::MAX };
         let rate = self.peak * m.units * warmth * multiple * BUDGET;
         let (saved, most) = (m.budget + rate * (now - m.budget_at) as f64, rate * self.span as f64 / 4.0);
-        let over = saved.max(0.0).fract();
-        let lapses = saved >= 1.0 && most < 1.0;
-        if lapses { over + f64::from(u8::from(over <= most)) } else { saved.min(most.max(1.0)) }
+        let bears = most * 4.0 * LEAST_TOGETHER / (self.least * BUDGET);
+        let kept = most * (1.0 + 4.0 * (2.0 / bears.sqrt() + 2.0 / bears) / BUDGET);
+        let lapsing = saved.fract() + f64::from(u8::from(saved.fract() <= kept));
+        if saved >= 1.0 && most < 1.0 { lapsing } else { saved.min(most.max(1.0)) }
     }
 
     fn due(&mut self, now: Micros, out: &mut Vec<Action>) {
--- a/src/config.rs
+++ b/src/config.rs
@@ -194,9 +194,9 @@
 const DOOR: usize = 16;
 /// What an overbooked discovery was seen to take for a call.
 const CALL: Duration = Duration::from_millis(200);
-/// A change counts as told 6 s after discovery had it and could be reached, whatever became of a call before. In
-/// that time a call that was under way may be given up, a pause passes, and another call is answered.
-const ASK_AGAIN: Duration = Duration::from_millis(2_500);
+/// A change counts as told 6 s after discovery had it and could be reached, whatever became of a call before. From
+/// the moment at which it had no room, a pause passes and another call is answered.
+const ASK_AGAIN: Duration = Duration::from_secs(5);
 /// A pooler that is alone takes nothing new for so long before its end.
 const LAST_CALL: Duration = Duration::from_millis(250);
 /// The longest value.
@@ -251,7 +251,7 @@
             discovery: Duration::from_secs(1),
             recheck: Duration::from_millis(100),
             first_list: Duration::from_millis(2_500),
-            stale_list: Duration::from_millis(400),
+            stale_list: Duration::from_millis(100),
             overbooked: CALL,
             pause: (Duration::from_millis(50), Duration::from_secs(1)),
             margin: Duration::from_millis(4),
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -34,9 +34,10 @@
     let mut limits = Limits::for_sockets(64);
     for poolers in [None, Some(1), Some(30), Some(300), Some(u32::MAX)] {
         limits.tier(poolers);
-        let pause = (limits.pause.1 * 3 / 2).max(limits.overbooked);
-        let given_up = (limits.watch + limits.discovery).max(limits.recheck + limits.first_list);
-        let heard = given_up + pause + limits.discovery / 2;
+        let given_up = (limits.watch + limits.discovery).max(limits.first_list) + limits.pause.1 * 3 / 2;
+        // A call that is refused is over when discovery has no room: it could not be reached before.
+        let refused = limits.overbooked.max(limits.pause.1 * 3 / 2);
+        let heard = given_up.max(refused) + limits.discovery;
         assert!(heard <= Duration::from_secs(6), "{poolers:?}: {heard:?}");
     }
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -43,11 +43,11 @@
     /// an answer is wanted at once: what discovery has to tell counts whether or not a watch is open, and the time
     /// in which a call says nothing is lost. It may take longer each time, since it may have others to answer.
     fn next(&self, is_watch: bool) -> (Duration, Duration) {
-        let Limits { watch, discovery, recheck, .. } = *self.limits;
+        let Limits { watch, discovery, recheck, first_list, .. } = *self.limits;
         match (is_watch, self.patience) {
             (true, None) => (watch, watch + discovery),
             (true, Some(patience)) => (recheck, recheck + patience),
-            (false, patience) => (Duration::ZERO, patience.unwrap_or(discovery)),
+            (false, _) => (Duration::ZERO, first_list),
         }
     }
 
