Keep the times of reads only for bytes that are not used yet

Cause: Arrivals dropped the times of used reads only when a query was taken; a connection that sends nothing but readiness queries would have kept one for each read for as long as it stands.

--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -16,6 +16,9 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+/// Reads whose times are kept for a connection.
+const READS: usize = 64;
+
 /// What a client did.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Heard {
@@ -57,9 +60,19 @@
 }
 
 impl Arrivals {
-    /// Notes a read. What comes after a pause may have waited for as long as that, until less than a full read is
-    /// there.
-    fn read(&mut self, bytes: usize, now: Micros) {
+    /// Notes a read behind so many bytes that are not used yet. What comes after a pause may have waited for as long
+    /// as that, until less than a full read is there.
+    fn read(&mut self, unread: usize, bytes: usize, now: Micros) {
+        let used = self.total.saturating_sub(unread as u64);
+        while self.reads.front().is_some_and(|(end, _)| *end <= used) {
+            self.reads.pop_front();
+        }
+        if self.reads.len() >= READS
+            && let Some((end, _)) = self.reads.remove(1)
+        {
+            // What comes in many pieces is taken to have come earlier rather than later.
+            self.reads[0].0 = end;
+        }
         self.total += bytes as u64;
         self.reads.push_back((self.total, self.paused.unwrap_or(now)));
         if bytes < CHUNK {
@@ -118,8 +131,9 @@
 
     /// Reads once; 0 at the end of the stream.
     pub async fn read(&mut self, into: &mut Buffer) -> io::Result<usize> {
+        let unread = into.unread().len();
         let n = into.fill(&self.stream).await?;
-        self.arrivals.read(n, self.clock.now());
+        self.arrivals.read(unread, n, self.clock.now());
         Ok(n)
     }
 
@@ -168,8 +182,9 @@
         let arrivals = &mut self.arrivals;
         let clock = &self.clock;
         let read = async {
+            let unread = into.unread().len();
             let n = into.fill(stream).await?;
-            arrivals.read(n, clock.now());
+            arrivals.read(unread, n, clock.now());
             Ok(if n > 0 { Heard::More } else { Heard::Gone })
         };
         // What has come is read before the wish to end is heard.
