--- a/src/choice.rs
+++ b/src/choice.rs
@@ -723,8 +723,7 @@
         }
     }
 
-    /// A new read behind so many others that it would be served at the edge of its aim is refused at once:
-    /// a retry then still finds time, and those held keep a margin.
+    /// A new read behind too many others is refused at once: a retry still finds time, those held too.
     fn hopeless(&self, now: Micros, id: RequestId) -> bool {
         let r = &self.requests[&id];
         let new = !r.writes && r.arrived == now && r.attempts.is_empty() && r.probed.is_none();
@@ -925,9 +924,9 @@
 
     /// A cold member falls over when all drivers together send it too much. Each gives it the most answers
     /// that it saw come from a member of its size, less than such a one bears, times its warmth and the
-    /// multiple. With many drivers that is less than one send in a warm-up: each starts at its own point,
-    /// and a send that is saved up lapses: all may have saved what counts as chance, 2 root of N + 2. What is
-    /// sent just now would not do for the pace: where only cold members are left it follows the demand.
+    /// multiple. With many drivers that is less than one send in a warm-up: each starts at its own point, and
+    /// a saved-up send lapses after what counts as chance, 2 root of N + 2, or most of the time between two
+    /// requests for the group. What was sent just now is no pace: where all are cold it follows demand.
     fn allowance(&self, now: Micros, m: &Member) -> f64 {
         let warmth = self.warmth(now, m);
         let (Some(multiple), true) = (self.settings.fall_multiple, warmth < 1.0) else { return f64::MAX };
@@ -935,6 +934,8 @@
         let (saved, most) = (m.budget + rate * (now - m.budget_at) as f64, rate * self.span as f64 / 4.0);
         let bears = most * 4.0 * LEAST_TOGETHER / (self.least * BUDGET);
         let kept = most * (1.0 + 4.0 * (2.0 / bears.sqrt() + 2.0 / bears) / BUDGET);
+        let members = self.groups.get(&m.group).map_or(1, |g| g.members.len()) as f64;
+        let kept = kept.max(warmth * multiple * BUDGET * BUDGET / members);
         let lapsing = saved.fract() + f64::from(u8::from(saved.fract() <= kept));
         if saved >= 1.0 && most < 1.0 { lapsing } else { saved.min(most.max(1.0)) }
     }
@@ -977,8 +978,7 @@
         }
     }
 
-    /// An attempt whose connection fell silent while its member goes on answering is called off and, once
-    /// that is settled, repeated as far as its class permits.
+    /// An attempt on a connection that fell silent, its member answering others, is called off and repeated.
     fn lost(&mut self, now: Micros, id: RequestId, attempt: u8, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id).filter(|r| !r.moved) else { return };
         let Some(a) = r.attempts.get(usize::from(attempt)).filter(|a| a.open) else { return };
