Read through: one read that notes its time, one word for what may have run, one row in the stand-ins

Link::hear and Link::read noted arrivals alike (Arrivals::fill); the module and the core listed the outcomes that may have run each for itself (Outcome::may_have_run); the start kept a flag of its own for what the closed channel of the first list says. In the tests a row and the look at who serves had copies.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -789,7 +789,7 @@
         if let Some(a) = r.attempts.get_mut(usize::from(attempt)) {
             (a.open, a.written) = (false, outcome != Outcome::ConnectFailed);
             a.missed_at = (outcome != Outcome::Full).then_some(now);
-            if matches!(outcome, Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
+            if outcome.may_have_run() {
                 r.first_ran = Some(r.first_ran.map_or(a.sent, |t| t.min(a.sent)));
             }
             r.errors += u32::from(outcome == Outcome::Error);
--- a/src/core/owner.rs
+++ b/src/core/owner.rs
@@ -372,7 +372,7 @@
             self.facts.served(flight.member);
         }
         if let Some(open) = self.open.get_mut(&id) {
-            if matches!(outcome, Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
+            if outcome.may_have_run() {
                 open.first_ran.get_or_insert(flight.sent);
             }
             self.gate.ended(now, open.class, open.group, now - flight.sent, outcome);
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -137,16 +137,14 @@
         executor.spawn(async move { reload(&path, hangup, &discovery, &fetch).await }).detach();
     }
     let (listed, ready) = async_channel::bounded::<()>(1);
-    let heard = Rc::new(Cell::new(false));
     if known {
         // What discovery has to tell counts from the first moment: the list from before serves only while it is
         // silent, when to wait for a newer one would serve nobody. Until then what comes is held.
-        let (listed, handle, known, heard) =
-            (listed.clone(), handle.clone(), hosts_known.clone(), heard.clone());
+        let (listed, handle, known) = (listed.clone(), handle.clone(), hosts_known.clone());
         let (wait, ready) = (limits.stale_list, limits.ready);
         let task = async move {
             Timer::after(wait).await;
-            if !heard.get() {
+            if !listed.is_closed() {
                 let list = known.borrow().listing();
                 handle.control(Control::List { list, cached: true }).await;
             }
@@ -164,9 +162,8 @@
         let (zones, seed) = (platform.zones, platform.seed);
         let task = async move {
             let deliver = |list: Listing| {
-                let (handle, listed, known, heard) = (&handle, &listed, &hosts_known, &heard);
+                let (handle, listed, known) = (&handle, &listed, &hosts_known);
                 async move {
-                    heard.set(true);
                     known.borrow_mut().take(&list);
                     let list = known.borrow().listing();
                     handle.control(Control::List { list, cached: false }).await;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -262,6 +262,13 @@
     Miss,
 }
 
+impl Outcome {
+    /// Whether the attempt may have had an effect though it was not served: a repeat of it has to be permitted.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
+    }
+}
+
 /// A client's request.
 #[derive(Clone, Debug, Default)]
 pub struct Ask {
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -60,6 +60,19 @@
 }
 
 impl Arrivals {
+    /// Reads once into a buffer; 0 at the end of the stream.
+    async fn fill(
+        &mut self,
+        stream: &Async<TcpStream>,
+        into: &mut Buffer,
+        clock: &Clock,
+    ) -> io::Result<usize> {
+        let unread = into.unread().len();
+        let n = into.fill(stream).await?;
+        self.read(unread, n, clock.now());
+        Ok(n)
+    }
+
     /// Notes a read behind so many bytes that are not used yet. What comes after a pause may have waited for as long
     /// as that, until less than a full read is there.
     fn read(&mut self, unread: usize, bytes: usize, now: Micros) {
@@ -131,10 +144,7 @@
 
     /// Reads once; 0 at the end of the stream.
     pub async fn read(&mut self, into: &mut Buffer) -> io::Result<usize> {
-        let unread = into.unread().len();
-        let n = into.fill(&self.stream).await?;
-        self.arrivals.read(unread, n, self.clock.now());
-        Ok(n)
+        self.arrivals.fill(&self.stream, into, &self.clock).await
     }
 
     /// Writes all, within the time a client has to take it.
@@ -179,12 +189,9 @@
             }
             Ok(Heard::Late)
         };
-        let arrivals = &mut self.arrivals;
-        let clock = &self.clock;
+        let (arrivals, clock) = (&mut self.arrivals, &self.clock);
         let read = async {
-            let unread = into.unread().len();
-            let n = into.fill(stream).await?;
-            arrivals.read(unread, n, clock.now());
+            let n = arrivals.fill(stream, into, clock).await?;
             Ok(if n > 0 { Heard::More } else { Heard::Gone })
         };
         // What has come is read before the wish to end is heard.
--- a/tests/discovery_orders.rs
+++ b/tests/discovery_orders.rs
@@ -27,6 +27,15 @@
     (PgHost::start("copy", |_| Reply::Row(b"old")), PgHost::start("copy", |_| Reply::Row(b"new")))
 }
 
+/// From now on every read is served by the new host, and nothing goes to the old one.
+fn only_new_serves(client: &mut PgClient, old: &PgHost) {
+    let before = old.count();
+    for n in 0..20 {
+        assert_eq!(client.ask(&read(&n.to_string(), 1_000)).value.as_deref(), Some(&b"new"[..]));
+    }
+    assert_eq!(old.count(), before, "nothing goes to the old one");
+}
+
 /// The next call that is a watch, others answered with `list`.
 fn next_watch(discovery: &ScriptedDiscovery, list: &str) -> DiscoveryCall {
     loop {
@@ -115,9 +124,7 @@
     let watch = discovery.next_call();
     assert!(watch.target.contains("after=2&"), "{}", watch.target);
     let mut client = PgClient::connect(address);
-    for n in 0..20 {
-        assert_eq!(client.ask(&read(&n.to_string(), 1_000)).value.as_deref(), Some(&b"new"[..]));
-    }
+    only_new_serves(&mut client, &old);
     assert_eq!(old.count(), 0);
     // What changed between two calls comes with the next answer.
     watch.answer(&list_text(2, false, &[]));
@@ -161,12 +168,7 @@
     assert!(discovery.next_call().target.contains("after=2&"));
     assert!(reachable.elapsed() < TOLD / 2, "{:?}", reachable.elapsed());
     assert!(silent.came.elapsed() < TOLD, "{:?}", silent.came.elapsed());
-    let before = old.count();
-    let mut client = PgClient::connect(address);
-    for n in 0..20 {
-        assert_eq!(client.ask(&read(&n.to_string(), 1_000)).value.as_deref(), Some(&b"new"[..]));
-    }
-    assert_eq!(old.count(), before, "it drains");
+    only_new_serves(&mut PgClient::connect(address), &old);
 }
 
 /// Guards against an answer that comes after its call was given up and passes for the next one's.
@@ -201,12 +203,7 @@
     discovery.next_call().answer(&list_text(2, false, &[endpoint("old", old.address, 1, "leaving")]));
     assert!(began.elapsed() < TOLD, "{:?}", began.elapsed());
     assert!(discovery.next_call().target.contains("after=2&"));
-    let before = old.count();
-    let mut client = PgClient::connect(address);
-    for n in 0..20 {
-        assert_eq!(client.ask(&read(&n.to_string(), 1_000)).value.as_deref(), Some(&b"new"[..]));
-    }
-    assert_eq!(old.count(), before, "it drains");
+    only_new_serves(&mut PgClient::connect(address), &old);
 }
 
 /// Guards against a move of discovery that waits for the pause after calls that failed at the old address, or that takes
--- a/tests/host_orders.rs
+++ b/tests/host_orders.rs
@@ -109,12 +109,7 @@
 /// reset its attempt, and a read is asked elsewhere.
 #[test]
 fn half_an_answer_and_a_close_is_a_reset_and_the_read_is_asked_again() {
-    let whole = [
-        pg_message(b'T', &[&1u16.to_be_bytes()[..], b"payload\0", &[0; 18]].concat()),
-        pg_message(b'D', &[&[0, 1][..], &5u32.to_be_bytes(), b"value"].concat()),
-        pg_message(b'C', b"SELECT 1\0"),
-    ]
-    .concat();
+    let whole = pg_row(b"value");
     for cut in [0, 3, 20, whole.len() - 20, whole.len() - 3] {
         let asked = Arc::new(AtomicUsize::new(0));
         let host = || {
@@ -162,13 +157,7 @@
     client.send(&pg_query(&write("1", 10_000, "")));
     let first = host.next();
     assert!(first.welcome_then_read().is_some());
-    let row = [
-        pg_message(b'T', &[&1u16.to_be_bytes()[..], b"payload\0", &[0; 18]].concat()),
-        pg_message(b'D', &[&[0, 1][..], &1u32.to_be_bytes(), b"v"].concat()),
-        pg_message(b'C', b"SELECT 1\0"),
-        pg_message(b'S', b"rank\0source\0"),
-        pg_message(b'Z', b"I"),
-    ];
+    let row = [pg_row(b"v"), pg_message(b'S', b"rank\0source\0"), pg_message(b'Z', b"I")];
     (&first.stream).write_all(&row.concat()).unwrap();
     assert!(client.answer().unwrap().value.is_some());
     first.stream.shutdown(std::net::Shutdown::Write).unwrap();
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -358,6 +358,13 @@
     Some((head[0], body))
 }
 
+/// A row of one value, from its description to the end of the command.
+pub fn pg_row(value: &[u8]) -> Vec<u8> {
+    let data = [&1u16.to_be_bytes()[..], &(value.len() as u32).to_be_bytes(), value].concat();
+    let described = pg_message(b'T', &[&1u16.to_be_bytes()[..], b"payload\0", &[0; 18]].concat());
+    [described, pg_message(b'D', &data), pg_message(b'C', b"SELECT 1\0")].concat()
+}
+
 pub fn pg_field(body: &[u8], name: u8) -> Option<String> {
     let field = body.split(|b| *b == 0).find(|f| f.first() == Some(&name))?;
     Some(String::from_utf8_lossy(&field[1..]).into_owned())
@@ -430,19 +437,14 @@
         seen.lock().unwrap().push(text.clone());
         let status = |name: &str, value: &str| pg_message(b'S', format!("{name}\0{value}\0").as_bytes());
         let told = [status("rank", role), status("as_of", &now_ms().to_string())].concat();
-        let row = |value: &[u8]| {
-            let data = [&1u16.to_be_bytes()[..], &(value.len() as u32).to_be_bytes(), value].concat();
-            let described = pg_message(b'T', &[&1u16.to_be_bytes()[..], b"payload\0", &[0; 18]].concat());
-            [described, pg_message(b'D', &data), pg_message(b'C', b"SELECT 1\0")].concat()
-        };
         let answer = match reply(&text) {
             Reply::RowThenEnd(value) => {
-                stream.write_all(&[row(value), told, ready].concat()).ok()?;
+                stream.write_all(&[pg_row(value), told, ready].concat()).ok()?;
                 stream.shutdown(std::net::Shutdown::Both).ok()?;
                 let _ = gone.lock().unwrap().send(true);
                 return None;
             }
-            Reply::Row(value) => row(value),
+            Reply::Row(value) => pg_row(value),
             Reply::Raw(bytes) => {
                 stream.write_all(&bytes).ok()?;
                 continue;
@@ -468,7 +470,7 @@
             }
             Reply::After(go, value) => {
                 let _ = go.lock().unwrap().recv_timeout(PATIENCE);
-                row(value)
+                pg_row(value)
             }
         };
         stream.write_all(&[answer, told, ready.clone()].concat()).ok()?;
