Review: a read on a connection that comes up late is answered from data that is too old

Cause: the router proves a replica's position when it chooses the replica. The connection is established afterwards, for up to connect-timeout, and nothing looks at the age again: the platform's backend uses AttemptContext::freshness neither before the write nor for the position that comes with the answer.

Nothing is fixed.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,7 +2,9 @@
 
 mod group_case;
 mod http;
+mod pg;
 mod sparql;
+mod stale_case;
 mod util;
 
 use std::path::PathBuf;
@@ -33,6 +35,7 @@
     };
     let run = || match arguments[1].as_str() {
         "group" => group_case::run(&place),
+        "stale" => stale_case::run(&place),
         _ => util::COULD_NOT_RUN,
     };
     let result = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run));
