Review: a drain that a cut-off node has answered with 200 is lost

Cause: Fleet::drain answers "committed" at once if the state applied on this node has any drain of the host, without a drain mark of its own. On a node that is cut off that state is old, and the mark that it relies on may have been undone by the majority.

Change: review/3 has the claim and a script with three nodes, relays between them and an operator's calls. Nothing is fixed.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+folder="$(cd "$(dirname "$0")" && pwd)"
+exec "$folder/../run-case.sh" "$folder" drain
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,8 +1,10 @@
 //! The cases of the review. `cases NAME ROOT FOLDER TEMPORARY` runs one of them and exits with its result.
 
+mod drain_case;
 mod group_case;
 mod http;
 mod pg;
+mod relay;
 mod sparql;
 mod stale_case;
 mod util;
@@ -34,6 +36,7 @@
         record: Record::create(&PathBuf::from(&arguments[3]).join("record.txt")),
     };
     let run = || match arguments[1].as_str() {
+        "drain" => drain_case::run(&place),
         "group" => group_case::run(&place),
         "stale" => stale_case::run(&place),
         _ => util::COULD_NOT_RUN,
