Discard what was learned of an endpoint when the list moves it to another group

Cause: Router::update_endpoint took a moved endpoint out of its former group's ring, but left it that group's believed primary, with its role and log position. Nothing compares groups later.

Ruled out: the agreed list (GET /hosts shows the new groups at once) and the way of the list to the router (reads of the same group go to its new members).

Change: a move discards role, position and lag, and the former group forgets its primary (src/routing/group_moves.rs); deleting an endpoint's state deletes the belief in it. Reports in answer to requests from before the move, and peers' hints from before it, have no effect. The backend pool learns of a changed group as of a restart, so a connection that was being established is not written to. This works because a role and a position belong to the log of one group, so none of them survives the change of group, whatever path reads them later.

--- a/src/engine/endpoints.rs
+++ b/src/engine/endpoints.rs
@@ -86,6 +86,8 @@
     pub name: String,
     /// The address under which this pooler reaches it.
     pub address: SocketAddr,
+    /// The group whose data it holds. After a change, no request of the former group may be written to it.
+    pub group: GroupId,
     /// Whether new attempts may be sent to it; false while it drains and after it has left the list.
     pub open: bool,
     /// When it last started; `None` if unknown. After a change, all earlier connections are dead.
@@ -101,6 +103,8 @@
     pub entries: Vec<EndpointEntry>,
     /// The endpoints that are new or changed, or that are missing from a whole list.
     pub changed: Vec<EndpointState>,
+    /// The endpoints that were in another group before.
+    pub moved: Vec<EndpointId>,
 }
 
 /// Limits the number of groups that are stored. Beyond it, groups without an endpoint are removed.
@@ -197,11 +201,16 @@
         let endpoint = EndpointState {
             name: record.name.clone(),
             address: record.address,
+            group: record.group,
             open: record.availability == Availability::Ready,
             started_at: record.started_at,
             gone: record.availability == Availability::Gone,
         };
-        if self.endpoints.get(&id) != Some(&endpoint) {
+        let known = self.endpoints.get(&id);
+        if known.is_some_and(|known| known.group != endpoint.group) {
+            applied.moved.push(id);
+        }
+        if known != Some(&endpoint) {
             applied.changed.push(endpoint.clone());
             self.endpoints.insert(id, endpoint);
         }
--- a/src/engine/endpoints/tests.rs
+++ b/src/engine/endpoints/tests.rs
@@ -84,3 +84,19 @@
     let states: Vec<_> = changed.iter().map(|endpoint| (endpoint.name.as_str(), endpoint.open)).collect();
     assert_eq!(states, [("b", false)]);
 }
+
+/// The backend pool must be told of an endpoint that changes nothing but its group, so that no connection which was
+/// opened for its former group is used.
+#[test]
+fn an_endpoint_that_moves_to_another_group_is_reported_as_changed() {
+    let mut registry = EndpointRegistry::default();
+    let update =
+        |record| EndpointUpdate { version: 1, coverage: ListCoverage::Changes, entries: vec![record] };
+    let applied = registry.apply(&update(record("a", Availability::Ready)));
+    assert_eq!((applied.changed.len(), applied.moved), (1, Vec::new()));
+    let moved = EndpointRecord { group: GroupId(2), ..record("a", Availability::Ready) };
+    let applied = registry.apply(&update(moved.clone()));
+    assert_eq!((applied.changed.len(), applied.moved), (1, vec![registry.find("a").unwrap()]));
+    let applied = registry.apply(&update(moved));
+    assert_eq!((applied.changed.len(), applied.moved), (0, Vec::new()));
+}
--- a/src/engine/observations.rs
+++ b/src/engine/observations.rs
@@ -83,6 +83,8 @@
 /// observations were last taken.
 #[derive(Clone, Copy, Debug, Default)]
 struct EndpointHistory {
+    /// Reports in answer to requests sent up to this time are ignored; `None` if none are.
+    ignored_until: Option<Timestamp>,
     latest: Option<LatestStatus>,
     /// When the endpoint last started, computed from the uptime that it reports.
     started_at: Option<Timestamp>,
@@ -185,7 +187,10 @@
             return;
         }
         let history = self.histories.entry(endpoint).or_default();
-        let EndpointReport { replica_status, arrived_at, .. } = report;
+        let EndpointReport { replica_status, requested_at, arrived_at, .. } = report;
+        if Some(requested_at) <= history.ignored_until {
+            return;
+        }
         history.latest = Some(LatestStatus { replica_status, arrived_at });
         let restarted = history.record_uptime(&report);
         let went_back = history.record_position(&report);
@@ -228,6 +233,9 @@
         observed_at: Timestamp,
     ) {
         let history = self.histories.entry(endpoint).or_default();
+        if Some(observed_at) <= history.ignored_until {
+            return;
+        }
         let is_higher = history.highest.is_none_or(|highest| position > highest.position);
         if position.is_known() && is_higher && history.regression.is_none() {
             history.highest = Some(HighestPosition { position, arrived_at: observed_at });
@@ -240,6 +248,19 @@
         Some(latest.arrived_at)
     }
 
+    /// Discards the reports of an endpoint that the list moved to another group at `now`, except for its start time. Its
+    /// positions in the log of its former group could otherwise make its new group's log look as if it went back.
+    pub fn restart_history(&mut self, endpoint: EndpointId, now: Timestamp) {
+        let history = self.histories.entry(endpoint).or_default();
+        *history = EndpointHistory {
+            ignored_until: Some(now),
+            started_at: history.started_at,
+            restarted_at: history.restarted_at,
+            ..EndpointHistory::default()
+        };
+        self.updated.remove(&endpoint);
+    }
+
     /// Forgets the endpoints for which `keep` is false.
     pub fn retain(&mut self, keep: impl Fn(EndpointId) -> bool) {
         self.histories.retain(|endpoint, _| keep(*endpoint));
--- a/src/engine/observations/tests.rs
+++ b/src/engine/observations/tests.rs
@@ -80,3 +80,20 @@
     observations.retain(|endpoint| endpoint != ENDPOINT);
     assert_eq!(observations.last_report_at(ENDPOINT), None);
 }
+
+/// Guards against a log rollback that is reported for a group, and answered to its sessions with 412, because an
+/// endpoint which the list moved to the group had reported a higher position in its former group.
+#[test]
+fn positions_in_a_former_group_are_not_compared_with_those_in_the_present_one() {
+    let mut observations = Observations::default();
+    observations.take();
+    observations.record(ENDPOINT, report(9_000_000, 10_000_000, 10_010_000));
+    observations.restart_history(ENDPOINT, at(11_000_000));
+    observations.record(ENDPOINT, report(9_500_000, 10_900_000, 11_010_000));
+    observations.record_external_position(ENDPOINT, position(9_900_000), at(10_950_000));
+    assert_eq!(observations.take(), [], "requested before the move");
+    observations.record(ENDPOINT, report(5_000_000, 11_020_000, 11_030_000));
+    let taken = observations.take();
+    assert_eq!(taken.len(), 1);
+    assert_eq!((taken[0].1.regression, taken[0].1.started_at), (None, None));
+}
--- a/src/engine/request_engine.rs
+++ b/src/engine/request_engine.rs
@@ -185,6 +185,10 @@
             self.observations.retain(|endpoint| endpoints.get(endpoint).is_some());
             self.polls.retain(|endpoint| endpoints.get(endpoint).is_some());
         }
+        for endpoint in &applied.moved {
+            self.observations.restart_history(*endpoint, now);
+            self.polls.forget(*endpoint);
+        }
         // This command has to precede those of the router's actions: the backend pool must have the state of an
         // endpoint before an attempt for it arrives.
         if !applied.changed.is_empty() {
--- a/src/engine/request_engine/polling.rs
+++ b/src/engine/request_engine/polling.rs
@@ -37,6 +37,11 @@
         self.sent_at.retain(|endpoint, _| keep(*endpoint));
     }
 
+    /// Drops the last load report of an endpoint, which no longer describes it.
+    pub(super) fn forget(&mut self, endpoint: EndpointId) {
+        self.latest_reports.remove(&endpoint);
+    }
+
     /// Records an endpoint's load report, which arrived from the endpoint itself or from a peer.
     fn record_report(&mut self, now: Timestamp, endpoint: EndpointId, report: LoadReport) {
         if report.count == 0 {
@@ -203,7 +208,8 @@
         });
         self.polls.record_report(now, endpoint, report);
         commands.push(Command::SkipInitialProbe(endpoint_name));
-        let event = Event::ProbeFinished { endpoint, ok: true, took: TimeDelta::ZERO, report };
+        let age = (now - observed_at).or_zero();
+        let event = Event::ProbeFinished { endpoint, ok: true, took: age, report };
         self.dispatch(now, event, commands);
     }
 
--- a/src/net/backend_pool/tests.rs
+++ b/src/net/backend_pool/tests.rs
@@ -1,7 +1,7 @@
 //! Reuse of pooled connections, probes of endpoints, and the limit of open connections.
 
 use super::*;
-use crate::routing::AttemptOutcome;
+use crate::routing::{AttemptOutcome, GroupId};
 use async_io::Async;
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
@@ -37,7 +37,14 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let pool = BackendPool::new(StubProtocol, Rc::new(limits), Clock::start());
     let address = listener.local_addr().unwrap();
-    let added = EndpointState { name: "a".into(), address, open: true, started_at: None, gone: false };
+    let added = EndpointState {
+        name: "a".into(),
+        address,
+        group: GroupId(1),
+        open: true,
+        started_at: None,
+        gone: false,
+    };
     pool.update_endpoint(added);
     (pool, listener)
 }
@@ -51,8 +58,14 @@
     let address = listener.local_addr().unwrap();
     async_io::block_on(async {
         let earlier = pool.acquire("a").await.ok().unwrap();
-        let state =
-            |gone: bool| EndpointState { name: "a".into(), address, open: !gone, started_at: None, gone };
+        let state = |gone: bool| EndpointState {
+            name: "a".into(),
+            address,
+            group: GroupId(1),
+            open: !gone,
+            started_at: None,
+            gone,
+        };
         pool.update_endpoint(state(true));
         assert!(pool.endpoints.borrow().is_empty());
         assert!(matches!(pool.acquire("a").await, Err(AttemptOutcome::ConnectFailed)));
--- a/src/routing/endpoints.rs
+++ b/src/routing/endpoints.rs
@@ -46,6 +46,8 @@
 #[derive(Default)]
 pub(super) struct EndpointState {
     pub(super) group: GroupId,
+    /// When the list moved it to that group from another one; `None` if it has been in no other one.
+    pub(super) moved_at: Option<Timestamp>,
     pub(super) zone: ZoneId,
     pub(super) availability: Availability,
     /// Its capacity relative to other endpoints.
@@ -57,7 +59,8 @@
     /// The last reported role. A response always sets it, a load report only if it is newer than the last response.
     pub(super) role: Option<Role>,
     pub(super) role_updated_at: Option<Timestamp>,
-    /// The log position that it has reached for certain, as commit time. It never decreases.
+    /// The log position that it has reached for certain, as commit time. It never decreases while the endpoint stays in
+    /// its group.
     pub(super) proven_position: Option<Timestamp>,
     /// How far its position lagged behind the present in the last response that contained one.
     pub(super) replication_lag: TimeDelta,
@@ -207,6 +210,10 @@
             let slow_start_budget = self.rng.f64();
             endpoint.reset_for_restart(now, entry.started_at, slow_start_budget);
         }
+        let former_group = endpoint.group;
+        if former_group != entry.group {
+            endpoint.move_to_group(now, entry.group);
+        }
         let newly_listed_as_primary = entry.primary && !endpoint.listed_as_primary;
         endpoint.listed_as_primary = entry.primary;
         endpoint.zone = entry.zone;
@@ -223,10 +230,13 @@
         let no_recent_role_report =
             endpoint.role_updated_at.is_none_or(|updated_at| now - updated_at > REPORTED_ROLE_PRECEDENCE);
 
-        let previous_group = std::mem::replace(&mut endpoint.group, entry.group);
-        self.groups.entry(previous_group).or_default().endpoints.remove(&entry.endpoint);
+        if former_group != entry.group {
+            self.remove_from_group(entry.endpoint, former_group);
+        }
         let group = self.groups.entry(entry.group).or_default();
-        if !removed {
+        if removed {
+            group.endpoints.remove(&entry.endpoint);
+        } else {
             group.endpoints.insert(entry.endpoint);
         }
         if newly_listed_as_primary && no_recent_role_report && !removed {
@@ -238,7 +248,15 @@
     /// Deletes the state of endpoints that were removed for good. Endpoints are replaced again and again while the
     /// router runs, so their state would grow without bound.
     fn purge_removed_endpoints(&mut self, now: Timestamp) {
-        self.endpoints.retain(|_, endpoint| !endpoint.can_be_purged(now));
+        let purged: Vec<(EndpointId, GroupId)> = self
+            .endpoints
+            .extract_if(.., |_, endpoint| endpoint.can_be_purged(now))
+            .map(|(id, endpoint)| (id, endpoint.group))
+            .collect();
+        // Such an endpoint may return in another group.
+        for (id, group) in purged {
+            self.remove_from_group(id, group);
+        }
         self.groups.retain(|_, group| group.is_in_use());
     }
 
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -191,7 +191,7 @@
         endpoint: EndpointId,
         /// Whether the endpoint responded.
         ok: bool,
-        /// Time from the probe's sending to its end.
+        /// Time from the probe's sending to its end; for a report that a peer received, its age.
         took: TimeDelta,
         /// The load report in the response; empty if there was no response.
         report: LoadReport,
--- a/src/routing/learning.rs
+++ b/src/routing/learning.rs
@@ -32,19 +32,45 @@
 const REPORTED_PRIMARY: f64 = 0.5;
 const MICROS_PER_SECOND: f64 = 1e6;
 
+/// What an endpoint reported about itself in the response to an attempt or a probe.
+pub(super) struct EndpointReport {
+    pub(super) endpoint: EndpointId,
+    /// When the attempt or the probe was sent.
+    pub(super) requested_at: Timestamp,
+    /// The role and position in the response; `None` for a probe, or if the response contained neither.
+    pub(super) status: Option<ReplicaStatus>,
+    pub(super) load: LoadReport,
+}
+
 impl Router {
-    /// Applies the role and position that an endpoint reported in a response (`status`) or in a load report.
+    /// Applies the role and position that an endpoint reported in a response or in a load report. Those of a group that
+    /// the endpoint has left are ignored.
     pub(super) fn update_endpoint_state(
         &mut self,
         now: Timestamp,
-        id: EndpointId,
-        status: Option<ReplicaStatus>,
-        report: &LoadReport,
+        reported: &EndpointReport,
+        actions: &mut Vec<Action>,
+    ) {
+        let EndpointReport { endpoint: id, requested_at, status, .. } = *reported;
+        let Some(endpoint) = self.endpoints.get(&id) else { return };
+        if endpoint.is_about_present_group(requested_at) {
+            self.apply_endpoint_report(now, reported, actions);
+        }
+        if status.is_some() {
+            self.record_response(now, id);
+        }
+    }
+
+    fn apply_endpoint_report(
+        &mut self,
+        now: Timestamp,
+        reported: &EndpointReport,
         actions: &mut Vec<Action>,
     ) {
+        let EndpointReport { endpoint: id, status, ref load, .. } = *reported;
         let position_epoch = self.settings.position_epoch.unwrap_or(Timestamp::ZERO);
-        let reported_position = self.report_value(report, REPORT_POSITION);
-        let reported_role = self.report_value(report, REPORT_ROLE);
+        let reported_position = self.report_value(load, REPORT_POSITION);
+        let reported_role = self.report_value(load, REPORT_ROLE);
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
         let mut new_role = None;
         if let Some(seconds) = reported_position {
@@ -67,9 +93,6 @@
                 actions.push(Action::SendToPeers { to: None, bytes: hint.encode() });
             }
         }
-        if status.is_some() {
-            self.record_response(now, id);
-        }
     }
 
     /// The value of the load report field `name`; `None` if the settings list no such field or the report lacks it.
@@ -86,15 +109,20 @@
     }
 
     /// Applies a peer's hint that an endpoint responded as the primary. The hint is used only if the endpoint is in
-    /// service, and if the hint is newer than the last information on the endpoint's role and, unless that is a replica
-    /// by its own report, on the believed primary's role. A hint proves no log position.
+    /// service, and if the hint is newer than the endpoint's move to its group, than the last information on the
+    /// endpoint's role and, unless that is a replica by its own report, on the believed primary's role. A hint proves no
+    /// log position.
     fn apply_primary_hint(&mut self, now: Timestamp, hint: PrimaryHint) {
         let Some(endpoint) = self.endpoints.get(&hint.endpoint) else { return };
         if endpoint.availability != Availability::Ready {
             return;
         }
         let Some(group) = self.groups.get_mut(&endpoint.group) else { return };
-        let seen_at = Some(hint.at.min(now));
+        let seen_at = hint.at.min(now);
+        if !endpoint.is_about_present_group(seen_at) {
+            return;
+        }
+        let seen_at = Some(seen_at);
         let believed = group.primary.and_then(|primary| self.endpoints.get(&primary));
         let believed_role_updated_at = match believed {
             Some(believed) if believed.role != Some(Role::Replica) => believed.role_updated_at,
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -4,9 +4,9 @@
 //! `docs/design.md` describes the design.
 //!
 //! Where to start: `router` dispatches the events, `attempts` implements the life cycle of a request, and `writes` and
-//! `reads` choose its endpoint. They use `endpoints` (the endpoint list), `learning` (roles, positions and latencies),
-//! `capacity` and `slow_start` (how many attempts an endpoint may get), `admission` (the queue of a group) and
-//! `timers`. `request` and `group` hold state.
+//! `reads` choose its endpoint. They use `endpoints` (the endpoint list), `group_moves` (endpoints that change their
+//! group), `learning` (roles, positions and latencies), `capacity` and `slow_start` (how many attempts an endpoint may
+//! get), `admission` (the queue of a group) and `timers`. `request` and `group` hold state.
 
 mod action;
 mod admission;
@@ -16,6 +16,7 @@
 mod endpoints;
 mod event;
 mod group;
+mod group_moves;
 mod learning;
 mod reads;
 mod request;
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -4,6 +4,7 @@
 use super::decayed_rate::DecayedRate;
 use super::endpoints::EndpointState;
 use super::group::Group;
+use super::learning::EndpointReport;
 use super::request::Request;
 use super::timers::ScheduledTimer;
 use super::{Action, EndpointId, Event, GroupId, RequestId, Settings, TimeDelta, Timestamp};
@@ -105,16 +106,23 @@
                 self.requests.entry(id).and_modify(|request| request.response_started = true);
             }
             Event::AttemptFinished(finished) => {
-                let status = finished.replica_status;
-                self.update_endpoint_state(now, finished.endpoint, status, &finished.report, actions);
+                let reported = EndpointReport {
+                    endpoint: finished.endpoint,
+                    requested_at: now.saturating_sub(finished.took),
+                    status: finished.replica_status,
+                    load: finished.report,
+                };
+                self.update_endpoint_state(now, &reported, actions);
                 self.attempt_finished(now, &finished, actions);
             }
             // Cancels the open attempts if the settings permit it: otherwise clients that give up early would load
             // endpoints with abandoned work.
             Event::RequestCancelled { id } => self.finish_request(id, actions),
-            Event::ProbeFinished { endpoint, ok, report, .. } => {
+            Event::ProbeFinished { endpoint, ok, took, report } => {
                 if ok {
-                    self.update_endpoint_state(now, endpoint, None, &report, actions);
+                    let requested_at = now.saturating_sub(took);
+                    let reported = EndpointReport { endpoint, requested_at, status: None, load: report };
+                    self.update_endpoint_state(now, &reported, actions);
                 }
             }
             Event::PeerMessage { bytes, .. } => self.receive_peer_message(now, &bytes),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -134,19 +134,31 @@
         self.actions[from..].to_vec()
     }
 
-    /// Sends a request of `class` whose client waits for `client_timeout`; returns its id and the resulting actions.
+    /// Sends a request of group 1; see [`RouterHarness::request_of`].
     pub fn request(
         &mut self,
         class: usize,
         client_timeout: TimeDelta,
         last_commit_age: Option<TimeDelta>,
+    ) -> (RequestId, Vec<Action>) {
+        self.request_of(GroupId(1), class, client_timeout, last_commit_age)
+    }
+
+    /// Sends a request of `group` and `class` whose client waits for `client_timeout`; returns its id and the resulting
+    /// actions.
+    pub fn request_of(
+        &mut self,
+        group: GroupId,
+        class: usize,
+        client_timeout: TimeDelta,
+        last_commit_age: Option<TimeDelta>,
     ) -> (RequestId, Vec<Action>) {
         let id = self.next;
         self.next.0 += 1;
         let request = IncomingRequest {
             id,
             class,
-            group: GroupId(1),
+            group,
             last_commit_age,
             session: 7,
             client_timeout,
--- a/tests/host_orders.rs
+++ b/tests/host_orders.rs
@@ -99,6 +99,28 @@
     );
 }
 
+/// Guards against a write that is executed by an endpoint of another group: the list moved the endpoint while its
+/// connection was being established.
+#[test]
+fn a_connection_to_an_endpoint_that_changed_its_group_meanwhile_gets_no_request() {
+    let moved = ManualEndpoint::start();
+    let other_group = PostgresEndpoint::replica(|_| Reply::Row(b"x"));
+    let other_entry = endpoint_json("elsewhere", other_group.address, 2, "active");
+    let former_entry = endpoint_json("moved", moved.address, 1, "active");
+    let pooler = start_pooler_with_config(&[former_entry, other_entry.clone()], with_long_connect_timeout);
+    let mut client = PostgresClient::connect(pooler.address);
+    client.send_query(&keyed_write_statement("1", 5_000, 1));
+    let connection = moved.next_connection();
+    let rest = PostgresEndpoint::primary(|_| Reply::Row(b"rest"));
+    let rest_entry = endpoint_json("rest", rest.address, 1, "active");
+    pooler.discovery.publish(&[endpoint_json("moved", moved.address, 2, "active"), rest_entry, other_entry]);
+    // The pooler handles the list before a later request: once that is answered, the list has taken effect.
+    let mut other = PostgresClient::connect(pooler.address);
+    assert_eq!(other.query(&read_statement("2", 1_000)).value, row_of(b"rest"));
+    assert_eq!(connection.complete_startup(), None, "nothing is written to the moved endpoint");
+    assert_eq!(client.receive().unwrap().value, row_of(b"rest"), "the write is sent to its own group");
+}
+
 /// Guards against an answer that never ends after a row that the client already has: since bytes keep coming,
 /// neither the deadline nor the timeout of a stalled answer would end it.
 #[test]
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -16,6 +16,10 @@
 /// Time after its deadline within which a request must have its final answer.
 const ANSWER_TOLERANCE: TimeDelta = TimeDelta::from_millis(20);
 
+/// How long an attempt took, as reported to the router, except in simulations in which endpoints move: there the router
+/// needs the true duration to tell the responses from before a move.
+const REPORTED_DURATION: TimeDelta = MS;
+
 /// A request without a final answer.
 #[derive(Default)]
 struct OpenRequest {
@@ -38,6 +42,9 @@
 /// What has been reported to the router about an endpoint.
 #[derive(Clone)]
 struct KnownState {
+    group: GroupId,
+    /// When the list last moved the endpoint to another group; `None` if it never did.
+    moved_at: Option<Timestamp>,
     availability: Availability,
     /// The role that the endpoint reported last.
     is_primary: bool,
@@ -47,6 +54,20 @@
     position: Option<Timestamp>,
 }
 
+impl KnownState {
+    /// An endpoint of `group` that has not reported anything.
+    fn new(group: GroupId, availability: Availability) -> KnownState {
+        KnownState {
+            group,
+            moved_at: None,
+            availability,
+            is_primary: false,
+            was_primary: false,
+            position: None,
+        }
+    }
+}
+
 /// The end of an attempt; ordered by time.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct AttemptEnd {
@@ -57,6 +78,8 @@
 
 struct Simulation {
     groups: u32,
+    /// The list moves endpoints between groups.
+    moves: bool,
     endpoints: u8,
     settings: Settings,
     rng: Rng,
@@ -74,7 +97,8 @@
     final_answers: usize,
 }
 
-fn group_of(n: u8, groups: u32) -> GroupId {
+/// The group of an endpoint that was not moved.
+fn initial_group(n: u8, groups: u32) -> GroupId {
     GroupId(u32::from(n) % groups)
 }
 
@@ -137,7 +161,7 @@
         let class = &self.settings.classes[request.class];
         let known = &self.known[usize::from(n)];
         assert_eq!(known.availability, Availability::Ready, "a send to an endpoint out of service");
-        assert_eq!(group_of(n, self.groups), request.group, "a send outside the group");
+        assert_eq!(known.group, request.group, "a send outside the group");
         let hedges = self.settings.may_hedge == Some(true);
         assert!(request.in_flight.is_empty() || hedges, "two attempts in flight");
         let in_flight_since = request.in_flight.values().map(|attempt| attempt.sent_at);
@@ -194,8 +218,12 @@
     fn finish_attempt(&mut self, id: RequestId, attempt: u8, n: u8) {
         let mut outcome = AttemptOutcome::Cancelled;
         let mut request_answered = true;
+        let mut took = REPORTED_DURATION;
         if let Some(request) = self.open.get_mut(&id) {
             let sent_at = request.in_flight.remove(&attempt).unwrap().sent_at;
+            if self.moves {
+                took = self.now - sent_at;
+            }
             outcome = random_outcome(&mut self.rng, self.now >= request.deadline);
             // Repeated here instead of using the code under test.
             use AttemptOutcome::{Cancelled, Error, Reset, TimedOut};
@@ -207,12 +235,12 @@
         if request_answered && self.open.remove(&id).is_some() {
             self.final_answers += 1;
         }
-        let replica_status = self.random_status(n, outcome);
+        let replica_status = self.random_status(n, self.now - took, outcome);
         self.handle(Event::AttemptFinished(AttemptFinished {
             id,
             attempt,
             endpoint: endpoint(n),
-            took: MS,
+            took,
             outcome,
             request_answered,
             replica_status,
@@ -220,8 +248,9 @@
         }));
     }
 
-    /// A random status, or `None` for an outcome with which an endpoint reports none.
-    fn random_status(&mut self, n: u8, outcome: AttemptOutcome) -> Option<ReplicaStatus> {
+    /// A random status in the response to an attempt that was sent at `sent_at`; `None` for an outcome with which an
+    /// endpoint reports none. A status from before the endpoint was moved proves nothing about its group.
+    fn random_status(&mut self, n: u8, sent_at: Timestamp, outcome: AttemptOutcome) -> Option<ReplicaStatus> {
         use AttemptOutcome::{Error, Misdirected, Overloaded, Served};
         let primary = self.rng.u8(..10) == 0;
         let age = random_duration(&mut self.rng, TimeDelta::ZERO..600 * MS);
@@ -232,9 +261,11 @@
         // Endpoints report whole milliseconds, rounded down.
         let position = LogPosition::from_millis(reached.as_millis());
         let known = &mut self.known[usize::from(n)];
-        known.is_primary = primary;
-        known.was_primary |= primary;
-        known.position = known.position.max(Some(position.commit_time(Timestamp::ZERO)));
+        if Some(sent_at) > known.moved_at {
+            known.is_primary = primary;
+            known.was_primary |= primary;
+            known.position = known.position.max(Some(position.commit_time(Timestamp::ZERO)));
+        }
         Some(ReplicaStatus { primary, position })
     }
 
@@ -250,6 +281,9 @@
             self.timers.retain(|at| *at > self.now);
             self.handle(Event::TimerFired { timer: 0 });
         }
+        if self.moves && self.rng.u8(..60) == 0 {
+            self.move_endpoint();
+        }
         match self.rng.u8(..40) {
             0 => self.change_availability(),
             1 => self.cancel_oldest_request(),
@@ -273,7 +307,22 @@
         self.known[usize::from(n)].availability = availability;
         // By its new list entry the endpoint started long ago, so it is no longer cold.
         self.sent_to_cold.remove(&n);
-        let entry = EndpointEntry { availability, group: group_of(n, self.groups), started_at, ..entry(n) };
+        let group = self.known[usize::from(n)].group;
+        let entry = EndpointEntry { availability, group, started_at, ..entry(n) };
+        self.handle(Event::EndpointList { kind: ListKind::Delta, entries: vec![entry] });
+    }
+
+    /// Moves an endpoint to another group, with the availability that it has.
+    fn move_endpoint(&mut self) {
+        let n = self.rng.u8(..self.endpoints);
+        let group = GroupId(self.rng.u32(..self.groups));
+        let known = &mut self.known[usize::from(n)];
+        if known.group == group {
+            return;
+        }
+        let availability = known.availability;
+        *known = KnownState { moved_at: Some(self.now), ..KnownState::new(group, availability) };
+        let entry = EndpointEntry { availability, group, ..entry(n) };
         self.handle(Event::EndpointList { kind: ListKind::Delta, entries: vec![entry] });
     }
 
@@ -338,26 +387,24 @@
     endpoints: u8,
     /// All endpoints have just started.
     cold: bool,
+    /// The list moves endpoints between groups.
+    moves: bool,
     steps: usize,
 }
 
 /// Runs all steps of `scenario` and returns the final state.
 fn simulate(seed: u64, scenario: Scenario) -> Simulation {
-    let Scenario { settings, groups, endpoints, cold, steps } = scenario;
-    let unknown = KnownState {
-        availability: Availability::Ready,
-        is_primary: false,
-        was_primary: false,
-        position: None,
-    };
+    let Scenario { settings, groups, endpoints, cold, moves, steps } = scenario;
+    let unknown = |n| KnownState::new(initial_group(n, groups), Availability::Ready);
     let mut simulation = Simulation {
         groups,
+        moves,
         endpoints,
         router: Router::new(settings.clone(), seed),
         settings,
         rng: Rng::with_seed(seed ^ 0x5eed),
         now: Timestamp::ZERO + 1_000 * MS,
-        known: vec![unknown; usize::from(endpoints)],
+        known: (0..endpoints).map(unknown).collect(),
         sent_to_cold: BTreeMap::new(),
         open: BTreeMap::new(),
         attempt_ends: BTreeMap::new(),
@@ -370,7 +417,7 @@
     if cold {
         simulation.sent_to_cold = (0..endpoints).map(|n| (n, 0)).collect();
     }
-    let entry_of = |n| EndpointEntry { group: group_of(n, groups), started_at, ..entry(n) };
+    let entry_of = |n| EndpointEntry { group: initial_group(n, groups), started_at, ..entry(n) };
     let entries = (0..endpoints).map(entry_of).collect();
     simulation.handle(Event::EndpointList { kind: ListKind::Cached, entries });
     for _ in 0..steps {
@@ -398,7 +445,20 @@
 fn the_invariants_hold_over_random_sequences_under_varied_settings() {
     for seed in 0..12 {
         let settings = varied_settings(seed);
-        let scenario = Scenario { settings, groups: 2, endpoints: 8, cold: false, steps: 8_000 };
+        let scenario =
+            Scenario { settings, groups: 2, endpoints: 8, cold: false, moves: false, steps: 8_000 };
+        let Simulation { sends, final_answers, .. } = simulate(seed, scenario);
+        assert!(sends > 500 && final_answers > 500, "{sends} sends, {final_answers} answers");
+    }
+}
+
+/// Guards against requests that reach an endpoint of another group, and against stale reads, after the list has moved
+/// endpoints between groups.
+#[test]
+fn the_invariants_hold_while_endpoints_move_between_groups() {
+    for seed in 0..12 {
+        let settings = varied_settings(seed);
+        let scenario = Scenario { settings, groups: 3, endpoints: 9, cold: false, moves: true, steps: 8_000 };
         let Simulation { sends, final_answers, .. } = simulate(seed, scenario);
         assert!(sends > 500 && final_answers > 500, "{sends} sends, {final_answers} answers");
     }
@@ -409,7 +469,8 @@
     for seed in 0..6 {
         let settings =
             Settings { pooler_count: Some(150), pooler_number: Some(149), ..varied_settings(seed) };
-        let scenario = Scenario { settings, groups: 15, endpoints: 60, cold: false, steps: 8_000 };
+        let scenario =
+            Scenario { settings, groups: 15, endpoints: 60, cold: false, moves: false, steps: 8_000 };
         let Simulation { sends, final_answers, .. } = simulate(seed, scenario);
         assert!(sends > 300 && final_answers > 300, "{sends} sends, {final_answers} answers");
     }
@@ -421,7 +482,7 @@
 fn one_of_150_poolers_sends_each_cold_endpoint_at_most_one_attempt() {
     for seed in 0..6 {
         let settings = Settings { pooler_count: Some(150), ..varied_settings(seed) };
-        let scenario = Scenario { settings, groups: 15, endpoints: 60, cold: true, steps: 400 };
+        let scenario = Scenario { settings, groups: 15, endpoints: 60, cold: true, moves: false, steps: 400 };
         let simulation = simulate(seed, scenario);
         let sent_to_cold = &simulation.sent_to_cold;
         assert!(sent_to_cold.values().all(|sends| *sends <= 1), "{sent_to_cold:?}");
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod capacity;
 mod endpoint_list;
+mod group_moves;
 mod peer_hints;
 mod reads;
 mod retries;
--- a/tests/sparql/configuration.rs
+++ b/tests/sparql/configuration.rs
@@ -1,7 +1,10 @@
 //! The operator's file and its inventory: at the start, on reload, and from a peer.
 
 use super::endpoint::SparqlEndpoint;
-use super::pooler::{OperatorFiles, RunningPooler, entry, query_request, start_pooler, start_process};
+use super::pooler::{
+    OperatorFiles, RunningPooler, entry, entry_of_group, query_request, start_pooler, start_process,
+    update_request,
+};
 use super::stand_in::http::HttpClient;
 use super::stand_in::network::unused_address;
 use super::stand_in::waiting::{eventually, now_ms};
@@ -57,6 +60,36 @@
     assert!(age_ms < 60_000, "an endpoint that a reload adds starts cold: {list}");
 }
 
+/// Guards against updates of a group that are executed by a primary which an edit of the inventory has moved to another
+/// group.
+#[test]
+fn an_edit_that_exchanges_two_groups_redirects_their_updates() {
+    let north = SparqlEndpoint::primary();
+    let south = SparqlEndpoint::primary();
+    let entries = |north_group, south_group| {
+        [entry_of_group("n", north.address, north_group), entry_of_group("s", south.address, south_group)]
+    };
+    let files = OperatorFiles::write("exchange", &entries(2, 1));
+    let pooler = start_pooler(&files);
+    let update_both = || {
+        for group in [1, 2] {
+            let headers = format!("Brookpass-Group: {group}\r\nBrookpass-Key: {}\r\n", now_ms() + group);
+            assert_eq!(pooler.call(&update_request(&headers)).status(), 200);
+        }
+    };
+    let group_of_last_update =
+        |endpoint: &SparqlEndpoint| endpoint.last_operation().header("brookpass-group").map(str::to_string);
+    update_both();
+    assert_eq!(group_of_last_update(&south).as_deref(), Some("1"));
+    files.write_inventory(&entries(1, 2));
+    let north_is_in_group_1 =
+        |list: &str| list.lines().any(|line| line.starts_with("n ") && line.split(' ').nth(2) == Some("1"));
+    eventually("the edit is in force", || north_is_in_group_1(&pooler.endpoint_list()));
+    update_both();
+    assert_eq!(group_of_last_update(&north).as_deref(), Some("1"));
+    assert_eq!(group_of_last_update(&south).as_deref(), Some("2"));
+}
+
 /// Guards against overload of a new endpoint: until it is warm, it must get only a small share of the requests.
 #[test]
 fn an_endpoint_that_a_reload_adds_gets_a_slow_start() {
--- a/tests/sparql/pooler.rs
+++ b/tests/sparql/pooler.rs
@@ -7,20 +7,26 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-/// An endpoint of group 1, as a line of the inventory.
+/// An endpoint, as a line of the inventory.
 pub struct InventoryEntry {
     name: String,
     address: SocketAddr,
+    group: u32,
 }
 
+/// An endpoint of group 1.
 pub fn entry(name: &str, address: SocketAddr) -> InventoryEntry {
-    InventoryEntry { name: name.to_string(), address }
+    entry_of_group(name, address, 1)
+}
+
+pub fn entry_of_group(name: &str, address: SocketAddr, group: u32) -> InventoryEntry {
+    InventoryEntry { name: name.to_string(), address, group }
 }
 
 fn inventory_csv(entries: &[InventoryEntry]) -> String {
     let mut csv = "name,address,group\n".to_string();
-    for InventoryEntry { name, address } in entries {
-        csv += &format!("{name},{address},1\n");
+    for InventoryEntry { name, address, group } in entries {
+        csv += &format!("{name},{address},{group}\n");
     }
     csv
 }
