Add a drain mark for each request, so that a cut-off node keeps its drain

Cause: Fleet::drain returned "committed" at once if any drain of the endpoint was in force in the state that this node had applied. A node that is cut off has an old state: the majority had undone that drain, and the request left no mark. The same cause in PendingDrains::request_drain: a pending mark of this node was used again, although the others may have committed and undone it.

Ruled out: a loss of marks on the way or on the disk; a new mark is kept through the same cut.

Change: a request always adds a mark of this node, in force at once. This works because an undrain ends only marks that its node knows: a new mark is known to nobody who has not received this request.

The unit test of request_drain said that a repeated request returns the pending mark: that was the fault. It now holds that the mark is new, that both stay in force, and that the number of pending drains is still bounded.

--- a/src/fleet/pending_drains.rs
+++ b/src/fleet/pending_drains.rs
@@ -50,14 +50,22 @@
         }
     }
 
-    /// Adds a drain of an endpoint with a new id of this node, and returns the id. If a drain of the endpoint by this
-    /// node is pending already, returns the id of that drain. The sequence number is derived from `now`, so that it is
-    /// new even if the node lost its disk.
-    pub fn request_drain(&mut self, endpoint: &str, local_node: NodeId, now: Timestamp) -> DrainId {
-        for pending in self.proposed_at.keys() {
-            if pending.host == endpoint && pending.drain.node == local_node {
-                return pending.drain;
-            }
+    /// Adds a drain of an endpoint with a new id of this node, and returns the id. The sequence number is derived from
+    /// `now`, so that it is new even if the node lost its disk.
+    ///
+    /// The id is new even if a drain of the endpoint by this node is pending: the others may have committed and undone
+    /// that one without this node's knowledge. Only if `limit` drains are pending, the id of the latest such drain is
+    /// returned instead.
+    pub fn request_drain(
+        &mut self,
+        endpoint: &str,
+        local_node: NodeId,
+        now: Timestamp,
+        limit: usize,
+    ) -> DrainId {
+        let pending = self.drains_of(endpoint).into_iter().filter(|drain| drain.node == local_node).max();
+        if let Some(latest) = pending.filter(|_| self.proposed_at.len() >= limit) {
+            return latest;
         }
         let time_sequence = now.as_micros().max(0) as u64;
         self.last_sequence = (self.last_sequence + 1).max(time_sequence);
--- a/src/fleet/pending_drains/tests.rs
+++ b/src/fleet/pending_drains/tests.rs
@@ -22,6 +22,7 @@
                         &endpoint,
                         NodeId(index as u64 + 1),
                         Timestamp::from_micros(step),
+                        1000,
                     );
                     requested.insert((endpoint, id));
                 }
@@ -71,13 +72,23 @@
 #[test]
 fn a_sequence_number_is_never_used_twice_and_the_number_of_drains_is_bounded() {
     let (mut drains, local_node, at) = (PendingDrains::default(), NodeId(7), Timestamp::from_micros);
-    let first = drains.request_drain("a", local_node, at(1_000));
-    assert_eq!(drains.request_drain("a", local_node, at(2_000)), first, "it is already draining");
-    assert!(drains.request_drain("b", local_node, at(1_000)).sequence > first.sequence);
+    let mut request = |endpoint, micros| drains.request_drain(endpoint, local_node, at(micros), 3);
+    let first = request("a", 1_000);
+    let repeated = request("a", 2_000);
+    assert!(repeated.sequence > first.sequence, "others may have undone the first one");
+    let other = request("b", 1_000);
+    assert!(other.sequence > repeated.sequence);
+    assert_eq!(request("a", 3_000), repeated, "as many drains as allowed are pending");
     assert!(
-        PendingDrains::default().request_drain("a", local_node, at(5_000)).sequence > first.sequence,
+        request("c", 3_000).sequence > other.sequence,
+        "the first drain of an endpoint is always accepted"
+    );
+    assert_eq!(drains.drains_of("a"), BTreeSet::from([first, repeated]));
+    assert!(
+        PendingDrains::default().request_drain("a", local_node, at(5_000), 3).sequence > first.sequence,
         "after a restart with an empty disk"
     );
+    let mut drains = PendingDrains::default();
     let many = (0..50)
         .map(|sequence| PendingDrain {
             host: format!("s-{sequence}"),
--- a/src/fleet/runtime/agreed_state.rs
+++ b/src/fleet/runtime/agreed_state.rs
@@ -195,6 +195,9 @@
 
 /// Describes a change and its result for the log.
 fn describe_change(change: &Change, result: ApplyResult) -> String {
+    if change.is_no_op() {
+        return format!("no change: {result:?}");
+    }
     match change {
         Change::Drain { host, .. } => format!("drain {host}: {result:?}"),
         Change::Undrain { host, .. } => format!("undrain {host}: {result:?}"),
--- a/src/fleet/runtime/drains.rs
+++ b/src/fleet/runtime/drains.rs
@@ -11,6 +11,7 @@
 use crate::store::state_machine::{Change, DrainId, PendingDrain};
 use crate::store::store_thread::StoreCommand;
 use async_channel::Receiver;
+use futures_lite::future;
 use std::collections::BTreeSet;
 use std::time::Instant;
 
@@ -70,30 +71,24 @@
     /// majority has committed it. It is proposed by the leader, which learns of it as of any pending drain; see
     /// `Fleet::act_as_leader`.
     ///
+    /// A drain by another node that is in force here does not replace the requested one: if this node is cut off, the
+    /// majority may have undone it. An earlier drain by this node does once a majority has confirmed that it is in
+    /// force, so that repeated requests do not add drains without bound.
+    ///
     /// Waits for the commit for at most the agreement timeout, then for the write to this node's disk for at most
-    /// another one. Returns at once if a committed drain of the endpoint is in force.
+    /// another one.
     ///
     /// # Errors
     ///
     /// [`UnknownEndpoint`] if the committed inventory has no such endpoint.
     pub async fn drain(&self, endpoint: &str) -> Result<DrainOutcome, UnknownEndpoint> {
-        let drain_id = {
-            let agreed = self.agreed();
-            if !agreed.state().hosts.contains_key(endpoint) {
-                return Err(UnknownEndpoint(endpoint.to_string()));
-            }
-            if agreed.state().is_drained(endpoint) {
-                return Ok(DrainOutcome::Committed);
-            }
-            self.mark_endpoints_changed([endpoint.to_string()]);
-            let mut drains = self.drains.borrow_mut();
-            drains.pending.request_drain(endpoint, agreed.local_id(), self.clock.now())
-        };
-        log::info!("fleet: endpoint {endpoint} is drained here");
-        self.changes.notify();
-        self.broadcast_pending_drains();
-        self.persist_pending_drains();
-        self.act_as_leader();
+        if !self.agreed().state().hosts.contains_key(endpoint) {
+            return Err(UnknownEndpoint(endpoint.to_string()));
+        }
+        if self.confirm_own_drain(endpoint).await {
+            return Ok(DrainOutcome::Committed);
+        }
+        let drain_id = self.request_drain(endpoint);
         let version = self.drains().pending.version();
         let changed = self.changes.subscribe();
         let committed = self.wait_until_resolved(endpoint, drain_id, &changed);
@@ -106,6 +101,46 @@
         Ok(if is_committed { DrainOutcome::Committed } else { DrainOutcome::AwaitsMajority })
     }
 
+    /// Whether a majority confirms that an earlier drain of the endpoint by this node is in force. Returns false as soon
+    /// as this node learns that it was undone, or if there is no answer within the proposals' retry interval: the
+    /// requested drain must not wait for longer.
+    async fn confirm_own_drain(&self, endpoint: &str) -> bool {
+        if !self.has_committed_own_drain(endpoint) {
+            return false;
+        }
+        let changed = self.changes.subscribe();
+        let confirmed = async { self.confirm_state(self.limits.proposal_retry_interval).await.is_ok() };
+        let undone = async {
+            while self.has_committed_own_drain(endpoint) {
+                let _ = changed.recv().await;
+            }
+            false
+        };
+        future::or(undone, confirmed).await
+    }
+
+    /// Whether a drain of the endpoint by this node is in force in the committed state as applied here.
+    fn has_committed_own_drain(&self, endpoint: &str) -> bool {
+        let agreed = self.agreed();
+        let local_id = agreed.local_id();
+        let committed = agreed.state().drains.get(endpoint);
+        committed.is_some_and(|drains| drains.iter().any(|drain| drain.node == local_id))
+    }
+
+    /// Adds a new drain of an endpoint, which takes effect here at once, and sends it to the peers and to the disk.
+    fn request_drain(&self, endpoint: &str) -> DrainId {
+        let (local_id, now) = (self.agreed().local_id(), self.clock.now());
+        let limit = self.limits.pending_drains;
+        let drain_id = self.drains.borrow_mut().pending.request_drain(endpoint, local_id, now, limit);
+        self.mark_endpoints_changed([endpoint.to_string()]);
+        log::info!("fleet: endpoint {endpoint} is drained here");
+        self.changes.notify();
+        self.broadcast_pending_drains();
+        self.persist_pending_drains();
+        self.act_as_leader();
+        drain_id
+    }
+
     /// Undoes all drains of an endpoint that this node knows of, committed or pending. Returns at once if it knows of
     /// none, otherwise once the undrain is committed and applied here. An endpoint that the inventory marks as draining
     /// stays out of service.
--- a/src/fleet/runtime/mod.rs
+++ b/src/fleet/runtime/mod.rs
@@ -152,7 +152,7 @@
         if let Some(legacy) = legacy {
             // A store of version 0.2.0 identifies drains by endpoint name only. They are requested anew by this node.
             for endpoint in &legacy.drains {
-                drains.request_drain(endpoint, identity.id, clock.now());
+                drains.request_drain(endpoint, identity.id, clock.now(), limits.pending_drains);
             }
             legacy_changes = legacy.changes(&local.name);
         }
--- a/src/fleet/runtime/proposals.rs
+++ b/src/fleet/runtime/proposals.rs
@@ -107,11 +107,29 @@
     ///
     /// [`NoMajority`] if that takes longer than the agreement timeout.
     pub(super) async fn commit_change(&self, change: Change) -> Result<(), NoMajority> {
+        self.commit_change_within(self.limits.agreement_timeout, change).await
+    }
+
+    /// Waits until the state applied here includes everything that was committed before this call. The state of a node
+    /// that is cut off from the majority is old, so what such a node finds there must not be answered as the fleet's
+    /// state without this.
+    ///
+    /// # Errors
+    ///
+    /// [`NoMajority`] if that takes longer than `timeout`. The state may then be old.
+    pub(super) async fn confirm_state(&self, timeout: Duration) -> Result<(), NoMajority> {
+        if !self.agreed().has_leader() {
+            return Err(NoMajority);
+        }
+        self.commit_change_within(timeout, Change::no_op()).await
+    }
+
+    async fn commit_change_within(&self, timeout: Duration, change: Change) -> Result<(), NoMajority> {
         let token = self.next_token();
         let proposal = Proposal { from: self.agreed().local_id(), token, change };
         self.proposals.borrow_mut().awaited.insert(token, false);
         let committed = self.propose_until_applied(proposal);
-        let result = until(Instant::now() + self.limits.agreement_timeout, committed).await;
+        let result = until(Instant::now() + timeout, committed).await;
         self.proposals.borrow_mut().awaited.remove(&token);
         result.ok_or(NoMajority)
     }
--- a/src/fleet/runtime/tests.rs
+++ b/src/fleet/runtime/tests.rs
@@ -20,7 +20,7 @@
     let fleet = Fleet::new(local, limits, Clock::start(), Rc::default(), opened, commands);
     let is_queued = || fleet.send_to_store(StoreCommand::StartParticipating);
     assert!(is_queued() && !is_queued());
-    fleet.drains.borrow_mut().pending_mut().request_drain("s-1", NodeId(7), Timestamp::from_micros(1));
+    fleet.drains.borrow_mut().pending_mut().request_drain("s-1", NodeId(7), Timestamp::from_micros(1), 10);
     fleet.persist_pending_drains();
     assert!(matches!(queue.try_recv(), Ok(StoreCommand::StartParticipating)));
     fleet.persist_pending_drains();
--- a/src/store/state_machine/change.rs
+++ b/src/store/state_machine/change.rs
@@ -96,6 +96,16 @@
 }
 
 impl Change {
+    /// A change without effect. Its commit shows a node that it has applied everything that was committed before.
+    pub fn no_op() -> Change {
+        Change::Undrain { host: String::new(), drains: Vec::new() }
+    }
+
+    /// Whether applying the change leaves the state as it is, whatever the state.
+    pub fn is_no_op(&self) -> bool {
+        matches!(self, Change::Undrain { drains, .. } if drains.is_empty())
+    }
+
     /// Whether the change only takes hosts out of service, as a drain does. Such a change takes effect on every node
     /// that knows of it before it is committed, and a leader appends it without confirming its leadership first.
     pub fn only_removes_hosts_from_service(&self) -> bool {
