Confirm the state before an undrain or a vote that has nothing to do is answered

Callers saw: nothing in service. At a node that is cut off, POST /undrain/NAME answered 200 for a host whose drain the node had not received, and POST /fleet/vote/NAME answered 200 for a node that the majority had removed.

Cause: the same as of the lost drain (docs/incidents/drain-lost-after-a-partition.md): both calls were answered from the state applied at this node, which is old there. Found by looking for that cause on related paths.

--- a/src/fleet/runtime/drains.rs
+++ b/src/fleet/runtime/drains.rs
@@ -105,7 +105,7 @@
     /// as this node learns that it was undone, or if there is no answer within the proposals' retry interval: the
     /// requested drain must not wait for longer.
     async fn confirm_own_drain(&self, endpoint: &str) -> bool {
-        if !self.has_committed_own_drain(endpoint) {
+        if !self.agreed().has_leader() || !self.has_committed_own_drain(endpoint) {
             return false;
         }
         let changed = self.changes.subscribe();
@@ -141,14 +141,22 @@
         drain_id
     }
 
-    /// Undoes all drains of an endpoint that this node knows of, committed or pending. Returns at once if it knows of
-    /// none, otherwise once the undrain is committed and applied here. An endpoint that the inventory marks as draining
-    /// stays out of service.
+    /// Undoes all drains of an endpoint that this node knows of, committed or pending. Returns once the undrain is
+    /// committed and applied here, or once a majority has confirmed that there is none. Returns at once if there is
+    /// neither a drain nor an endpoint of this name. An endpoint that the inventory marks as draining stays out of
+    /// service.
     ///
     /// # Errors
     ///
-    /// [`NoMajority`] if that takes longer than the agreement timeout. The endpoint then stays drained.
+    /// [`NoMajority`] if the confirmation or the commit takes longer than the agreement timeout. The endpoint then stays
+    /// drained, if it was.
     pub async fn undrain(&self, endpoint: &str) -> Result<(), NoMajority> {
+        if self.known_drains(endpoint).is_empty() {
+            if !self.agreed().state().hosts.contains_key(endpoint) {
+                return Ok(());
+            }
+            self.confirm_state(self.limits.agreement_timeout).await?;
+        }
         let drains = self.known_drains(endpoint);
         if drains.is_empty() {
             return Ok(());
--- a/src/fleet/runtime/membership_requests.rs
+++ b/src/fleet/runtime/membership_requests.rs
@@ -64,13 +64,17 @@
 }
 
 impl Fleet {
-    /// Grants a member a vote or removes it from the fleet. Returns once the change is applied here.
+    /// Grants a member a vote or removes it from the fleet. Returns once the change is applied here. If it is applied
+    /// already, a majority has to confirm that first.
     ///
     /// # Errors
     ///
     /// [`MembershipRequestError`] if there is no such member or the change takes longer than two agreement timeouts.
     pub async fn change_membership(&self, request: MemberRequest) -> Result<(), MembershipRequestError> {
-        if !self.agreed().state().members.values().any(|member| member.name == request.member) {
+        if self.is_member_name(&request.member) && self.is_carried_out(&request) {
+            self.confirm_state(self.limits.agreement_timeout).await?;
+        }
+        if !self.is_member_name(&request.member) {
             return Err(MembershipRequestError::UnknownMember(request.member));
         }
         let carried_out = self.request_until_carried_out(&request);
@@ -78,6 +82,10 @@
         Ok(result.ok_or(NoMajority)?)
     }
 
+    fn is_member_name(&self, name: &str) -> bool {
+        self.agreed().state().members.values().any(|member| member.name == name)
+    }
+
     /// Sends a request to the leader repeatedly until it is carried out.
     async fn request_until_carried_out(&self, request: &MemberRequest) {
         let changed = self.changes.subscribe();
--- a/src/fleet/runtime/proposals.rs
+++ b/src/fleet/runtime/proposals.rs
@@ -118,9 +118,6 @@
     ///
     /// [`NoMajority`] if that takes longer than `timeout`. The state may then be old.
     pub(super) async fn confirm_state(&self, timeout: Duration) -> Result<(), NoMajority> {
-        if !self.agreed().has_leader() {
-            return Err(NoMajority);
-        }
         self.commit_change_within(timeout, Change::no_op()).await
     }
 
--- a/tests/fleet_outdated_state.rs
+++ b/tests/fleet_outdated_state.rs
@@ -99,6 +99,31 @@
     fleet.heal_and_check(true);
 }
 
+/// Guards against an undrain that is answered with 200 by a node that has not received the drain.
+#[test]
+fn an_undrain_at_an_isolated_node_is_rejected_also_if_it_has_no_drain() {
+    let fleet = IsolatableCluster::start(3);
+    fleet.isolate_outdated();
+    assert_eq!(fleet.post(fleet.leader, "drain"), 200);
+    assert_eq!(fleet.cluster.is_draining(fleet.outdated, ENDPOINT), Some(false));
+    assert_eq!(fleet.post(fleet.outdated, "undrain"), 503);
+    fleet.heal_and_check(true);
+    assert_eq!(fleet.post(fleet.outdated, "undrain"), 200);
+    fleet.heal_and_check(false);
+}
+
+/// Guards against a vote that is reported as granted to a node which the majority has removed.
+#[test]
+fn a_vote_is_not_confirmed_by_an_isolated_node() {
+    let fleet = IsolatableCluster::start(5);
+    let removed = fleet.others.iter().copied().find(|node| *node != fleet.leader).unwrap();
+    let name = fleet.cluster.nodes[removed].name.clone();
+    assert_eq!(fleet.cluster.post(fleet.outdated, &format!("/fleet/vote/{name}")), 200, "it votes already");
+    fleet.isolate_outdated();
+    assert_eq!(fleet.cluster.post(fleet.leader, &format!("/fleet/leave/{name}")), 200);
+    assert_eq!(fleet.cluster.post(fleet.outdated, &format!("/fleet/vote/{name}")), 503);
+}
+
 /// Guards against state that grows with every repetition of a drain, as by a script that requests it every minute.
 #[test]
 fn repeated_drains_at_a_node_commit_a_single_drain() {
