Test kit: record whether an earlier attempt's connection was open when a later one arrived

The check compares times that two threads of the kit's endpoints took, and could not tell a late thread from a true overlap.

Change: an endpoint registers each attempt until its end is recorded. When an attempt arrives, the connections of the request's other attempts are looked at, without blocking: that of the pooler itself, also where a relay stands between, since the relay forwards a close only when its threads run. OverlappingAttempts says whether the earlier connection was open or closed.

Not shown yet: which of the two it is.

--- a/lab/src/check.rs
+++ b/lab/src/check.rs
@@ -10,7 +10,7 @@
     ColdStartBound, DrainPeriod, cold_endpoint_not_overloaded, no_arrivals_while_drained,
     no_overlapping_attempts,
 };
-pub use error::CheckError;
+pub use error::{CheckError, EarlierConnection};
 pub use replication::{NodeLog, same_committed_sequence};
 pub use requests::{
     Downtime, every_request_answered, no_stale_reads, requests_due, sessions_told_of_lost_writes,
--- a/lab/src/check/arrivals.rs
+++ b/lab/src/check/arrivals.rs
@@ -1,6 +1,6 @@
 //! Checks of the operations that reached endpoints.
 
-use super::{CheckError, SCHEDULING_TOLERANCE};
+use super::{CheckError, EarlierConnection, SCHEDULING_TOLERANCE};
 use crate::Timestamp;
 use crate::endpoint::{Arrival, warm_up_share};
 use std::collections::BTreeMap;
@@ -82,9 +82,12 @@
         attempts.sort_by_key(|attempt| attempt.arrived_at);
         for pair in attempts.windows(2) {
             if pair[1].arrived_at < pair[0].finished_at - SCHEDULING_TOLERANCE {
-                let first = pair[0].endpoint.clone();
-                let second = pair[1].endpoint.clone();
-                return Err(CheckError::OverlappingAttempts { request_id, first, second });
+                return Err(CheckError::OverlappingAttempts {
+                    request_id,
+                    first: pair[0].endpoint.clone(),
+                    second: pair[1].endpoint.clone(),
+                    earlier_connection: EarlierConnection::of(pair[0], pair[1]),
+                });
             }
         }
         // A rejected attempt has no effect; its times of arrival and of finish are equal.
--- a/lab/src/check/error.rs
+++ b/lab/src/check/error.rs
@@ -1,9 +1,41 @@
 //! The violations that checks report.
 
+use crate::endpoint::Arrival;
 use crate::{LogPosition, Timestamp};
+use std::fmt;
 use std::time::Duration;
 use thiserror::Error;
 
+/// The connection of an attempt when a later attempt of the same request arrived elsewhere. It tells a true overlap from
+/// an endpoint's thread that recorded the end of its attempt late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EarlierConnection {
+    /// The pooler had not closed it: both attempts were in flight.
+    Open,
+    /// The pooler had closed it, or the endpoint had recorded the end of the attempt.
+    Closed,
+}
+
+impl EarlierConnection {
+    /// The connection of `earlier` when `later` arrived.
+    pub(super) fn of(earlier: &Arrival, later: &Arrival) -> EarlierConnection {
+        if later.open_elsewhere.contains(&earlier.endpoint) {
+            EarlierConnection::Open
+        } else {
+            EarlierConnection::Closed
+        }
+    }
+}
+
+impl fmt::Display for EarlierConnection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            EarlierConnection::Open => "open",
+            EarlierConnection::Closed => "closed",
+        })
+    }
+}
+
 /// A violation of a checked property, with its place in the history.
 #[derive(Clone, Debug, PartialEq, Error)]
 pub enum CheckError {
@@ -96,7 +128,9 @@
         latency: Duration,
     },
     /// Two attempts of a request were at endpoints at the same time.
-    #[error("attempts of request {request_id} were at {first} and {second} at the same time")]
+    #[error(
+        "attempts of request {request_id} were at {first} and {second} at the same time; when the later one arrived, the connection of the earlier one was {earlier_connection}"
+    )]
     OverlappingAttempts {
         /// The request's id.
         request_id: u64,
@@ -104,6 +138,8 @@
         first: String,
         /// The endpoint of the later one.
         second: String,
+        /// The connection of the earlier attempt when the later one arrived.
+        earlier_connection: EarlierConnection,
     },
     /// A write without an idempotency key was executed more than once.
     #[error("the write {request_id} was executed {executions} times")]
--- a/lab/src/check/tests.rs
+++ b/lab/src/check/tests.rs
@@ -72,6 +72,7 @@
         finished_at: at(finished_at),
         is_write: true,
         served: true,
+        open_elsewhere: Vec::new(),
     }
 }
 
@@ -103,7 +104,17 @@
     assert_eq!(no_overlapping_attempts(&valid), Ok(2));
     let overlapping = [arrival("a", 1, 0, 100_000), arrival("b", 1, 20_000, 30_000)];
     let found = no_overlapping_attempts(&overlapping);
-    assert!(matches!(found, Err(CheckError::OverlappingAttempts { .. })));
+    let closed = EarlierConnection::Closed;
+    assert!(
+        matches!(found, Err(CheckError::OverlappingAttempts { earlier_connection, .. }) if earlier_connection == closed)
+    );
+    let with_open_connection =
+        [overlapping[0].clone(), Arrival { open_elsewhere: vec!["a".into()], ..overlapping[1].clone() }];
+    let found = no_overlapping_attempts(&with_open_connection);
+    let open = EarlierConnection::Open;
+    assert!(
+        matches!(found, Err(CheckError::OverlappingAttempts { earlier_connection, .. }) if earlier_connection == open)
+    );
     let twice = [arrival("a", 1, 0, 100_000), arrival("b", 1, 200_000, 300_000)];
     let found = no_overlapping_attempts(&twice);
     assert!(matches!(found, Err(CheckError::DuplicateWrite { .. })));
--- a/lab/src/endpoint.rs
+++ b/lab/src/endpoint.rs
@@ -3,6 +3,7 @@
 //! reaches them.
 
 mod group_log;
+mod open_attempts;
 mod serving;
 mod set;
 
@@ -12,6 +13,7 @@
 use crate::Timestamp;
 use crate::http::Message;
 use group_log::GroupLog;
+use open_attempts::OpenAttempts;
 use std::collections::BTreeSet;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -56,6 +58,8 @@
     pub is_write: bool,
     /// Whether the operation ran to its end while the client was still connected.
     pub served: bool,
+    /// The endpoints at which an earlier attempt of the request had an open connection when this one arrived.
+    pub open_elsewhere: Vec<String>,
 }
 
 /// Capacity and faults of an endpoint.
@@ -131,10 +135,17 @@
     state: Arc<Mutex<State>>,
     log: Arc<Mutex<GroupLog>>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
-    arrivals: Arc<Mutex<Vec<Arrival>>>,
+    records: SharedRecords,
     polls: Arc<Mutex<Vec<Timestamp>>>,
 }
 
+/// What all endpoints of a cluster record together.
+#[derive(Clone, Default)]
+struct SharedRecords {
+    arrivals: Arc<Mutex<Vec<Arrival>>>,
+    open_attempts: OpenAttempts,
+}
+
 /// An endpoint's place in the cluster.
 struct Placement {
     group: u32,
@@ -144,11 +155,7 @@
 }
 
 impl StandInEndpoint {
-    fn start(
-        placement: Placement,
-        log: Arc<Mutex<GroupLog>>,
-        arrivals: Arc<Mutex<Vec<Arrival>>>,
-    ) -> StandInEndpoint {
+    fn start(placement: Placement, log: Arc<Mutex<GroupLog>>, records: SharedRecords) -> StandInEndpoint {
         let Placement { group, index, zone } = placement;
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let state = State {
@@ -169,7 +176,7 @@
             state: Arc::new(Mutex::new(state)),
             log,
             streams: Arc::default(),
-            arrivals,
+            records,
             polls: Arc::default(),
         };
         let accepting = endpoint.clone();
--- a/lab/src/endpoint/serving.rs
+++ b/lab/src/endpoint/serving.rs
@@ -98,15 +98,20 @@
     /// Executes an operation; `None` if the client closed the connection or the endpoint lost power.
     fn execute(&self, request: &Message, stream: &TcpStream) -> Option<String> {
         let is_write = request.header("content-type") == Some("application/sparql-update");
+        let request_id = request_id(request, is_write);
+        let open_attempts = &self.records.open_attempts;
         let arrived_at = Timestamp::now();
         let mut arrival = Arrival {
             endpoint: self.name.clone(),
-            request_id: request_id(request, is_write),
+            request_id,
             arrived_at,
             finished_at: arrived_at,
             is_write,
             served: false,
+            open_elsewhere: open_attempts.endpoints_of(request_id),
         };
+        // Ends after the arrival is recorded, and before the response is written.
+        let _registration = open_attempts.register(request_id, &self.name, stream);
         let state = self.state();
         let behavior = state.behavior;
         let is_primary = state.is_primary;
@@ -142,7 +147,7 @@
     }
 
     fn record(&self, arrival: Arrival) {
-        self.arrivals.lock().expect("lock of the arrivals").push(arrival);
+        self.records.arrivals.lock().expect("lock of the arrivals").push(arrival);
     }
 
     /// Waits in the queue until a slot is free.
--- a/lab/src/endpoint/set.rs
+++ b/lab/src/endpoint/set.rs
@@ -1,6 +1,6 @@
 //! The set of all endpoints of a cluster.
 
-use super::{Arrival, GroupLog, LostCommits, Placement, StandInEndpoint};
+use super::{Arrival, GroupLog, LostCommits, Placement, SharedRecords, StandInEndpoint};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -9,7 +9,7 @@
 #[derive(Clone, Default)]
 pub struct StandInEndpoints {
     all: Vec<StandInEndpoint>,
-    arrivals: Arc<Mutex<Vec<Arrival>>>,
+    records: SharedRecords,
 }
 
 impl StandInEndpoints {
@@ -22,7 +22,7 @@
             for index in 0..per_group {
                 let zone = zones.get(index % zones.len().max(1)).cloned().unwrap_or_default();
                 let placement = Placement { group, index, zone };
-                let endpoint = StandInEndpoint::start(placement, log.clone(), endpoints.arrivals.clone());
+                let endpoint = StandInEndpoint::start(placement, log.clone(), endpoints.records.clone());
                 endpoints.all.push(endpoint);
             }
         }
@@ -41,7 +41,7 @@
 
     /// The operations that have reached the endpoints so far, in the order in which they finished.
     pub fn arrivals(&self) -> Vec<Arrival> {
-        self.arrivals.lock().expect("lock of the arrivals").clone()
+        self.records.arrivals.lock().expect("lock of the arrivals").clone()
     }
 
     /// The endpoint with this name.
--- a/lab/src/relay.rs
+++ b/lab/src/relay.rs
@@ -3,6 +3,11 @@
 //! Links between nodes of a fleet carry length-prefixed frames. There the relay drops whole frames, as a network that
 //! loses messages would. On other links it only delays, throttles or discards bytes, or resets connections.
 
+mod clients;
+
+pub(crate) use clients::client_behind;
+
+use clients::ClientEntry;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, channel};
@@ -147,6 +152,7 @@
     fn serve(&self, client: TcpStream) {
         let target = self.state().target;
         let Ok(server) = TcpStream::connect_timeout(&target, CONNECT_TIMEOUT) else { return };
+        let _entry = ClientEntry::add(&client, &server);
         let resets_at_start = self.state().resets;
         for stream in [&client, &server] {
             let _ = stream.set_nodelay(true);
