Check the proof of freshness again before a bounded read is written to its replica

Cause: the router proves a replica's position when it chooses the replica; the connection is then established for up to connect-timeout, and nothing looked at the age again before the write. Ruled out: a wrong position (as_of in the very answers shows the age) and the choice itself (only replicas proven at that moment are chosen).

Change: the router states with each such attempt until when the proof holds (position plus maximum age), and the pool checks it where it checks drain, deadline and key window. An attempt whose proof has expired is not written, ends as FreshnessExpired, says nothing against its endpoint, and the read is routed again. Reads whose proof does not expire, primaries, and endpoints that reject stale reads themselves have no such time. This works because a position never goes back: at the write the data is at least as new as the proof says.

Failed before: host_orders: a_connection_that_is_ready_after_the_data_became_too_old_gets_no_bounded_read (the SELECT was written to the replica). The router's test states the time and the way of the retry.

--- a/src/bin/brookpass-simulator-adapter/reply.rs
+++ b/src/bin/brookpass-simulator-adapter/reply.rs
@@ -17,7 +17,7 @@
     /// Appends an action of an instance.
     pub fn push_action(&mut self, instance: u32, action: &Action) {
         match action {
-            Action::Send { id, endpoint, stop_at } => {
+            Action::Send { id, endpoint, stop_at, fresh_until: _ } => {
                 let stop_at = optional_time(*stop_at);
                 let fields: [&[u8]; 3] = [&id.0.to_le_bytes(), &endpoint_bytes(*endpoint), &stop_at];
                 self.push_record(action_code::SEND, instance, &fields);
--- a/src/bin/brookpass-simulator-adapter/tests.rs
+++ b/src/bin/brookpass-simulator-adapter/tests.rs
@@ -131,7 +131,12 @@
     let endpoint = EndpointId { ip: [1, 2, 3, 4], port: 5 };
     let mut reply = Reply::default();
     let actions = [
-        Action::Send { id: RequestId(1), endpoint, stop_at: Some(Timestamp::from_micros(2_500_000)) },
+        Action::Send {
+            id: RequestId(1),
+            endpoint,
+            stop_at: Some(Timestamp::from_micros(2_500_000)),
+            fresh_until: None,
+        },
         Action::Reject { id: RequestId(2), retry_after: Some(TimeDelta::from_millis(250)) },
         Action::Fail { id: RequestId(3) },
         Action::Cancel { id: RequestId(4), attempt: 6 },
--- a/src/engine/message.rs
+++ b/src/engine/message.rs
@@ -202,6 +202,9 @@
         send_by: Option<Timestamp>,
         /// How current the data of the answer has to be.
         freshness: Freshness,
+        /// The last time at which the endpoint's known position proves that its data is that current; `None` if there is
+        /// no such limit.
+        fresh_until: Option<Timestamp>,
     },
     /// Request an endpoint's load report.
     Probe {
--- a/src/engine/outcome_window.rs
+++ b/src/engine/outcome_window.rs
@@ -62,7 +62,9 @@
             AttemptOutcome::TimedOut | AttemptOutcome::Reset => counts.unanswered = 1,
             // An attempt that was cancelled earlier might still have been answered on time.
             AttemptOutcome::Cancelled if took > bounds.overdue_after => counts.unanswered = 1,
-            AttemptOutcome::Cancelled | AttemptOutcome::NotSent => return None,
+            AttemptOutcome::Cancelled | AttemptOutcome::NotSent | AttemptOutcome::FreshnessExpired => {
+                return None;
+            }
         }
         Some(counts)
     }
--- a/src/engine/request_engine.rs
+++ b/src/engine/request_engine.rs
@@ -26,7 +26,7 @@
 use crate::Router;
 use crate::config::Limits;
 use crate::routing::{Action, Event, ListKind, Settings, Timestamp};
-use attempts::InFlightTable;
+use attempts::{InFlightTable, SendLimits};
 use polling::EndpointPolls;
 use request_table::RequestTable;
 use std::collections::VecDeque;
@@ -244,8 +244,8 @@
     /// Executes an action of the router.
     fn execute(&mut self, now: Timestamp, action: Action, commands: &mut Vec<Command<W>>) {
         match action {
-            Action::Send { id, endpoint, stop_at } => {
-                self.send_attempt(now, id, endpoint, stop_at, commands);
+            Action::Send { id, endpoint, stop_at, fresh_until } => {
+                self.send_attempt(now, id, SendLimits { stop_at, fresh_until }, endpoint, commands);
             }
             Action::Reject { id, retry_after } => self.requests.reject(now, id, retry_after),
             Action::Fail { id } => self.requests.fail(now, id),
--- a/src/engine/request_engine/attempts.rs
+++ b/src/engine/request_engine/attempts.rs
@@ -55,16 +55,23 @@
     }
 }
 
+/// Limits that the router sets on the time of an attempt; see [`crate::routing::Action::Send`].
+pub(super) struct SendLimits {
+    pub(super) stop_at: Option<Timestamp>,
+    pub(super) fresh_until: Option<Timestamp>,
+}
+
 impl<W: Clone, A> RequestEngine<W, A> {
     /// Sends an attempt for the router. If it must not be sent, it is reported back to the router as ended.
     pub(super) fn send_attempt(
         &mut self,
         now: Timestamp,
         id: RequestId,
+        limits: SendLimits,
         endpoint: EndpointId,
-        stop_at: Option<Timestamp>,
         commands: &mut Vec<Command<W>>,
     ) {
+        let SendLimits { stop_at, fresh_until } = limits;
         let Some(request) = self.requests.get_mut(id) else {
             log::error!("engine: request {id}: attempt not sent: requested after the final answer");
             return;
@@ -91,6 +98,7 @@
             deadline: stop_at.map_or(request.deadline, |stop_at| stop_at.min(request.deadline)),
             send_by: request.first_may_have_run_at.and_then(|first| key_expiry(class, first)),
             freshness: request.freshness,
+            fresh_until,
         });
         let in_flight = InFlightAttempt { endpoint, class: request.class, sent_at: now };
         self.in_flight.0.insert(AttemptId { request: id, attempt }, in_flight);
--- a/src/net/backend_pool.rs
+++ b/src/net/backend_pool.rs
@@ -86,6 +86,7 @@
                 deadline,
                 send_by,
                 freshness,
+                fresh_until,
             } => {
                 let spec = AttemptSpec {
                     key: AttemptKey { request: id, attempt },
@@ -95,6 +96,7 @@
                     deadline,
                     send_by,
                     freshness,
+                    fresh_until,
                 };
                 self.spawn_attempt(spec, executor, handle);
             }
--- a/src/net/backend_pool/attempt.rs
+++ b/src/net/backend_pool/attempt.rs
@@ -32,6 +32,8 @@
     /// applies.
     pub(super) send_by: Option<Timestamp>,
     pub(super) freshness: Freshness,
+    /// After this time the endpoint's known position no longer proves `freshness`; `None` if there is no such limit.
+    pub(super) fresh_until: Option<Timestamp>,
 }
 
 /// Cancels an attempt when dropped.
@@ -124,6 +126,10 @@
             self.release(name, connection);
             return Err(AttemptOutcome::NotSent);
         }
+        if context.is_freshness_expired() {
+            self.release(name, connection);
+            return Err(AttemptOutcome::FreshnessExpired);
+        }
         let result = self.protocol.exchange(&mut connection.connection, &spec.request, context).await;
         if matches!(result.outcome, AttemptOutcome::Reset | AttemptOutcome::ConnectFailed) {
             self.set_needs_probe(name, true);
--- a/src/net/backend_pool/protocol.rs
+++ b/src/net/backend_pool/protocol.rs
@@ -81,6 +81,7 @@
     pub(super) handle: &'a EngineHandle<R, A>,
     pub(super) deadline: Timestamp,
     send_by: Option<Timestamp>,
+    fresh_until: Option<Timestamp>,
     /// How current the data of the answer must be.
     pub freshness: Freshness,
     sent: Cell<bool>,
@@ -96,6 +97,7 @@
             handle,
             deadline: spec.deadline,
             send_by: spec.send_by,
+            fresh_until: spec.fresh_until,
             freshness: spec.freshness,
             sent: Cell::new(false),
             response_started: Cell::new(false),
@@ -132,6 +134,12 @@
         now >= self.deadline || self.send_by.is_some_and(|send_by| now >= send_by)
     }
 
+    /// Whether the endpoint's known position no longer proves that its data is fresh enough, because the connection took
+    /// too long to establish.
+    pub(super) fn is_freshness_expired(&self) -> bool {
+        self.fresh_until.is_some_and(|fresh_until| self.now() > fresh_until)
+    }
+
     /// Passes a streamed answer to the client. From now on the deadline does not apply, and the request cannot be
     /// retried.
     pub async fn start_response(&self, answer: A) {
--- a/src/routing/action.rs
+++ b/src/routing/action.rs
@@ -14,6 +14,9 @@
         endpoint: EndpointId,
         /// When to abandon the attempt; `None` for the client's deadline.
         stop_at: Option<Timestamp>,
+        /// The last time at which the attempt may be written: after it, the endpoint's known log position no longer
+        /// proves that its data is fresh enough. `None` if there is no such limit.
+        fresh_until: Option<Timestamp>,
     },
     /// Final answer: rejected. The client may safely send the request again.
     Reject {
--- a/src/routing/attempts.rs
+++ b/src/routing/attempts.rs
@@ -5,7 +5,7 @@
 
 use super::endpoints::EndpointState;
 use super::learning::POSITION_RESOLUTION;
-use super::request::{Attempt, AttemptId, Request, RequestPath};
+use super::request::{Attempt, AttemptId, Request, RequestPath, SendTarget};
 use super::router::{DEFAULT_LATENCY_OBJECTIVE, Router};
 use super::timers::Timer;
 use super::{
@@ -106,25 +106,26 @@
     /// Sends a request to an endpoint of its path. If none accepts it now, queues it, or gives it up if the queue is
     /// too long.
     pub(super) fn route(&mut self, now: Timestamp, id: RequestId, actions: &mut Vec<Action>) {
-        let endpoint = match self.requests[&id].path {
-            RequestPath::Write => self.choose_primary(now, id),
+        let target = match self.requests[&id].path {
+            RequestPath::Write => self.choose_primary(now, id).map(SendTarget::without_expiry),
             RequestPath::Read => self.choose_read_endpoint(now, id, actions),
         };
-        match endpoint {
-            Some(endpoint) => self.send(now, id, endpoint, actions),
+        match target {
+            Some(target) => self.send(now, id, target, actions),
             None if self.queue_is_too_long(now, id) => self.give_up(id, actions),
             None => self.enqueue(now, id),
         }
     }
 
-    /// Sends an attempt of a request to `endpoint_id` and schedules the checks of the attempt.
+    /// Sends an attempt of a request to `target` and schedules the checks of the attempt.
     pub(super) fn send(
         &mut self,
         now: Timestamp,
         id: RequestId,
-        endpoint_id: EndpointId,
+        target: SendTarget,
         actions: &mut Vec<Action>,
     ) {
+        let SendTarget { endpoint: endpoint_id, fresh_until } = target;
         self.dequeue(id);
         let Some(endpoint) = self.endpoints.get(&endpoint_id) else { return };
         let allowance = self.slow_start_allowance(now, endpoint);
@@ -157,7 +158,7 @@
         let lost_at = now + TimeDelta::from_micros_f64(typical_latency_us * LOST_AFTER_LATENCIES);
         self.schedule(suspect_at, Timer::SuspectEndpoint(attempt));
         self.schedule(lost_at, Timer::LostAttempt(attempt));
-        actions.push(Action::Send { id, endpoint: endpoint_id, stop_at: None });
+        actions.push(Action::Send { id, endpoint: endpoint_id, stop_at: None, fresh_until });
     }
 
     /// Handles the end of an attempt. Outcomes for unknown endpoints are ignored; those of finished requests still
@@ -233,7 +234,7 @@
                 endpoint.unreachable = true;
                 self.eject(now, finished.endpoint, CONNECTION_FAILURE_EJECTION);
             }
-            AttemptOutcome::NotSent | AttemptOutcome::Misdirected => {}
+            AttemptOutcome::NotSent | AttemptOutcome::Misdirected | AttemptOutcome::FreshnessExpired => {}
         }
     }
 
@@ -353,9 +354,12 @@
     fn attempt_ended(&mut self, now: Timestamp, number: u8, outcome: AttemptOutcome) {
         let Some(attempt) = self.attempts.get_mut(usize::from(number)) else { return };
         attempt.open = false;
-        attempt.may_have_arrived = outcome != AttemptOutcome::ConnectFailed;
-        // The same request may try an overloaded endpoint again, since its ejection is short.
-        attempt.unserved_at = (outcome != AttemptOutcome::Overloaded).then_some(now);
+        attempt.may_have_arrived =
+            !matches!(outcome, AttemptOutcome::ConnectFailed | AttemptOutcome::FreshnessExpired);
+        // The same request may try an overloaded endpoint again, since its ejection is short, and one whose position was
+        // too old, once it has reported a newer one.
+        let may_try_again = matches!(outcome, AttemptOutcome::Overloaded | AttemptOutcome::FreshnessExpired);
+        attempt.unserved_at = (!may_try_again).then_some(now);
         if outcome.may_have_run() {
             let since = self.may_have_run_since.unwrap_or(attempt.sent_at);
             self.may_have_run_since = Some(since.min(attempt.sent_at));
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -92,6 +92,9 @@
     NotSent,
     /// The endpoint rejected it without running it: it is not the primary, or its data is too old.
     Misdirected,
+    /// It was not sent and did not run: while its connection was being established, the endpoint's log position ceased
+    /// to prove that its data is fresh enough.
+    FreshnessExpired,
 }
 
 impl AttemptOutcome {
--- a/src/routing/reads.rs
+++ b/src/routing/reads.rs
@@ -7,7 +7,7 @@
 use super::endpoints::{EndpointState, Role};
 use super::group::Group;
 use super::learning::POSITION_RESOLUTION;
-use super::request::{Request, RequestPath};
+use super::request::{Request, RequestPath, SendTarget};
 use super::router::Router;
 use super::timers::Timer;
 use super::{Action, Consistency, EndpointId, ReplicationLagPolicy, RequestId, TimeDelta, Timestamp};
@@ -62,15 +62,17 @@
         now: Timestamp,
         id: RequestId,
         actions: &mut Vec<Action>,
-    ) -> Option<EndpointId> {
+    ) -> Option<SendTarget> {
         let candidates = self.read_candidates(now, &self.requests[&id])?;
         if !candidates.fresh.is_empty() {
-            return choose_by_weight(&mut self.rng, &candidates.fresh);
+            let endpoint = choose_by_weight(&mut self.rng, &candidates.fresh)?;
+            let fresh_until = self.fresh_until(&self.requests[&id], &self.endpoints[&endpoint]);
+            return Some(SendTarget { endpoint, fresh_until });
         }
         if self.wait_for_probe(now, id, &candidates.unproven, actions) {
             return None;
         }
-        self.primary_for_read(now, &self.requests[&id])
+        self.primary_for_read(now, &self.requests[&id]).map(SendTarget::without_expiry)
     }
 
     /// Endpoints that may serve the read and accept an attempt now; `None` for an unknown group.
@@ -204,6 +206,20 @@
         }
     }
 
+    /// The last time at which the endpoint's position proves that its data is fresh enough for the read. `None` if the
+    /// proof does not expire: only a maximum age is counted back from the time at which the read is sent. `None` also if
+    /// endpoints reject stale reads themselves.
+    fn fresh_until(&self, request: &Request, endpoint: &EndpointState) -> Option<Timestamp> {
+        if self.endpoints_reject_stale_reads() || request.consistency != Some(Consistency::Bounded) {
+            return None;
+        }
+        Some(endpoint.proven_position? + self.max_age(request) - POSITION_RESOLUTION)
+    }
+
+    fn max_age(&self, request: &Request) -> TimeDelta {
+        self.settings.classes[request.class].max_age.unwrap_or(TimeDelta::ZERO)
+    }
+
     fn freshness_requirement(&self, now: Timestamp, request: &Request) -> FreshnessRequirement {
         match request.consistency {
             Some(Consistency::Session) => match request.required_commit {
@@ -211,8 +227,7 @@
                 None => FreshnessRequirement::None,
             },
             Some(Consistency::Bounded) => {
-                let max_age = self.settings.classes[request.class].max_age.unwrap_or(TimeDelta::ZERO);
-                FreshnessRequirement::CommitsUntil(now - max_age + POSITION_RESOLUTION)
+                FreshnessRequirement::CommitsUntil(now - self.max_age(request) + POSITION_RESOLUTION)
             }
             Some(Consistency::Strong) | None => FreshnessRequirement::Primary,
             Some(Consistency::Eventual | Consistency::Write) => FreshnessRequirement::None,
--- a/src/routing/request.rs
+++ b/src/routing/request.rs
@@ -20,6 +20,22 @@
     pub(super) number: u8,
 }
 
+/// Where an attempt is sent.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) struct SendTarget {
+    pub(super) endpoint: EndpointId,
+    /// The last time at which the endpoint's position proves that its data is fresh enough; `None` if the request needs
+    /// no proof that expires.
+    pub(super) fresh_until: Option<Timestamp>,
+}
+
+impl SendTarget {
+    /// An endpoint that may serve the request whenever the attempt is written.
+    pub(super) fn without_expiry(endpoint: EndpointId) -> SendTarget {
+        SendTarget { endpoint, fresh_until: None }
+    }
+}
+
 /// One sending of a request to an endpoint.
 pub(super) struct Attempt {
     pub(super) endpoint: EndpointId,
--- a/src/routing/writes.rs
+++ b/src/routing/writes.rs
@@ -7,7 +7,7 @@
 //! If a round of the ring finds no primary, the group's writes are queued until one is known.
 
 use super::endpoints::{EndpointState, Role};
-use super::request::RequestPath;
+use super::request::{RequestPath, SendTarget};
 use super::router::Router;
 use super::timers::Timer;
 use super::{Action, Availability, EndpointId, GroupId, RequestId, TimeDelta, Timestamp};
@@ -149,7 +149,7 @@
         }
         if let Some(endpoint) = next {
             self.groups.entry(group_id).or_default().tried_in_round.insert(endpoint);
-            self.send(now, request, endpoint, actions);
+            self.send(now, request, SendTarget::without_expiry(endpoint), actions);
         }
     }
 }
--- a/tests/host_orders.rs
+++ b/tests/host_orders.rs
@@ -4,7 +4,7 @@
 mod stand_in;
 
 use stand_in::discovery::endpoint_json;
-use stand_in::network::spawn_server;
+use stand_in::network::{names_in_ring_order, spawn_server};
 use stand_in::platform::{
     keyed_write_statement, primary_and_replica_list, read_statement, start_pooler, start_pooler_with_config,
     write_statement,
@@ -13,7 +13,7 @@
 use stand_in::postgres::endpoint::{PostgresEndpoint, Reply};
 use stand_in::postgres::manual_endpoint::ManualEndpoint;
 use stand_in::postgres::messages::{self, kind};
-use stand_in::waiting::DEFAULT_TIMEOUT;
+use stand_in::waiting::{DEFAULT_TIMEOUT, now_ms};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -121,6 +121,49 @@
     assert_eq!(client.receive().unwrap().value, row_of(b"rest"), "the write is sent to its own group");
 }
 
+/// Guards against a stale read: the replica's position proves that its data is fresh enough when the replica is chosen,
+/// but its connection becomes ready only when that data has become too old. The endpoints do not check the age.
+#[test]
+fn a_connection_that_is_ready_after_the_data_became_too_old_gets_no_bounded_read() {
+    let replica = ManualEndpoint::start();
+    let primary = PostgresEndpoint::primary(|_| Reply::Row(b"current"));
+    let [first, second] = names_in_ring_order();
+    let list = [
+        endpoint_json(&first, replica.address, 1, "active"),
+        endpoint_json(&second, primary.address, 1, "active"),
+    ];
+    let pooler = start_pooler_with_config(&list, |text| {
+        with_long_connect_timeout(text)
+            .replace("\"behind\":\"await\"", "\"behind\":\"none\"")
+            .replace("\"max-age\":[0.8,0.0]", "\"max-age\":[2.0,0.0]")
+    });
+    let mut client = PostgresClient::connect(pooler.address);
+    client.send_query(&write_statement("1", 1_900));
+    // The replica rejects the write, and reports its position with that.
+    let connection = replica.next_connection();
+    assert!(connection.complete_startup().is_some());
+    let position_ms = now_ms();
+    let rejection = [
+        messages::error("25006"),
+        messages::parameter_status("rank", "copy"),
+        messages::parameter_status("as_of", &position_ms.to_string()),
+        messages::ready_for_query(),
+    ];
+    (&connection.stream).write_all(&rejection.concat()).unwrap();
+    assert_eq!(client.receive().unwrap().value, row_of(b"current"));
+    drop(connection);
+    client.send_query(&read_statement("2", 10_000));
+    let late_connection = replica.next_connection();
+    while now_ms() <= position_ms + 2_000 {
+        thread::sleep(Duration::from_millis(10));
+    }
+    let statement = thread::spawn(move || late_connection.complete_startup());
+    assert_eq!(client.receive().unwrap().value, row_of(b"current"), "the primary serves the read");
+    drop(client);
+    drop(pooler);
+    assert_eq!(statement.join().unwrap(), None, "nothing is written to the replica");
+}
+
 /// Guards against an answer that never ends after a row that the client already has: since bytes keep coming,
 /// neither the deadline nor the timeout of a stalled answer would end it.
 #[test]
--- a/tests/router/reads.rs
+++ b/tests/router/reads.rs
@@ -155,3 +155,31 @@
     let (id, sent) = harness.request(BOUNDED_READ, 2_000 * MS, None);
     assert_ne!(sent_to(&sent, id), [endpoint(1)], "a read shows whether the replica has caught up");
 }
+
+/// Guards against a stale read whose connection takes long to establish: the position that proves its data fresh enough
+/// does so only up to a time. The expiry says nothing against the endpoint.
+#[test]
+fn a_bounded_read_is_routed_again_if_the_proof_of_freshness_expires_before_it_is_sent() {
+    let mut harness = RouterHarness::new(settings(), 2);
+    harness.report_state(1, Role::Primary, FRESH);
+    harness.report_state(2, Role::Replica, 100 * MS);
+    let fresh_until_of = |sent: &[Action]| {
+        let target = |action: &Action| match action {
+            Action::Send { endpoint, fresh_until, .. } => Some((*endpoint, *fresh_until)),
+            _ => None,
+        };
+        sent.iter().find_map(target).unwrap()
+    };
+    let (id, sent) = harness.request(BOUNDED_READ, 2_000 * MS, None);
+    // Of the 300 ms that the class allows, 100 ms are over; the report and the bound are rounded to milliseconds.
+    assert_eq!(fresh_until_of(&sent), (endpoint(2), Some(harness.now + 198 * MS)));
+    harness.now += 199 * MS;
+    let sent = harness.finish_attempt(id, 0, 2, AttemptOutcome::FreshnessExpired, None, FRESH);
+    assert_eq!(fresh_until_of(&sent), (endpoint(1), None), "a confirmed primary is always fresh enough");
+    harness.finish_attempt(id, 1, 1, AttemptOutcome::Served, Some(Role::Primary), FRESH);
+    harness.report_state(2, Role::Replica, FRESH);
+    let (_, sent) = harness.request(BOUNDED_READ, 2_000 * MS, None);
+    assert_eq!(fresh_until_of(&sent).0, endpoint(2), "the endpoint is used again once it has caught up");
+    let (_, sent) = harness.request(EVENTUAL_READ, 2_000 * MS, None);
+    assert_eq!(fresh_until_of(&sent).1, None, "data of any age will do");
+}
