Log that gossip records are written to disk once they are

Cause: beside 24 busy processes fleet_recovery_power: nodes_that_restart_one_by_one_… failed once with "timed out waiting for: a node is ready". Traced in the kept logs: the line "gossip records are written to disk", for which the test waits before it cuts the power, was logged when the write was queued. b0 logged it at .057, took a drain at .060 and was killed before its store had written; the commit index on its disk, which goes out with the next write, still was that of the members' entries, so alone it knew of no agreed settings, and the test starts the next node only when this one is ready.

Change: the store's thread logs the line after the write. Its text is as before; the test is unchanged.

Ruled out: the drain marks of this landing (b0 started with the members' entries alone).

Not forced by a test of its own.

--- a/src/fleet/runtime/gossip.rs
+++ b/src/fleet/runtime/gossip.rs
@@ -287,8 +287,9 @@
             records: gossip.state.records_to_persist(self.clock.now()),
             rollbacks: version.log_rollbacks.clone(),
         };
-        log::debug!("fleet: {} gossip records are written to disk", record.records.len());
-        if self.send_to_store(StoreCommand::PersistGossip(codec::encode(&record))) {
+        let command =
+            StoreCommand::PersistGossip { encoded: codec::encode(&record), records: record.records.len() };
+        if self.send_to_store(command) {
             gossip.persisted = version;
         }
     }
--- a/src/store/store_thread/commands.rs
+++ b/src/store/store_thread/commands.rs
@@ -17,9 +17,7 @@
                 self.with_node(|node| node.propose_membership(&change));
             }
             StoreCommand::PersistDrains { drains, version } => self.persist_drains(&drains, version),
-            StoreCommand::PersistGossip(bytes) => {
-                self.write(RaftWrite::default(), &[NodeValue::Gossip(&bytes)]);
-            }
+            StoreCommand::PersistGossip { encoded, records } => self.persist_gossip(&encoded, records),
             StoreCommand::FoundFleet(state) => self.found_fleet(&state),
             StoreCommand::ForceNewFleet(state) => self.force_new_fleet(&state),
             StoreCommand::StartParticipating => self.start_participating(),
@@ -94,6 +92,12 @@
         }
     }
 
+    fn persist_gossip(&mut self, encoded: &[u8], records: usize) {
+        if self.write(RaftWrite::default(), &[NodeValue::Gossip(encoded)]) {
+            log::debug!("fleet: {records} gossip records are written to disk");
+        }
+    }
+
     fn found_fleet(&mut self, state: &ClusterState) {
         if self.node.fleet_id().is_none() {
             self.start_fleet(&RaftPersistentState::found_fleet(state, self.node.id()));
--- a/src/store/store_thread/interface.rs
+++ b/src/store/store_thread/interface.rs
@@ -32,8 +32,13 @@
         /// The version of the list, which [`StoreEvent::DrainsPersisted`] reports once it is written.
         version: u64,
     },
-    /// Writes the gossip about endpoints, as bytes that the fleet encodes.
-    PersistGossip(Vec<u8>),
+    /// Writes the gossip about endpoints in place of the stored one.
+    PersistGossip {
+        /// The gossip, as bytes that the fleet encodes.
+        encoded: Vec<u8>,
+        /// Number of records in it, for the log.
+        records: usize,
+    },
     /// Founds a fleet with this state, if this node belongs to none.
     FoundFleet(Box<ClusterState>),
     /// Starts a fleet with this node as its only member that continues from this state. An operator requests it.
--- a/tests/store_file.rs
+++ b/tests/store_file.rs
@@ -206,7 +206,8 @@
         RaftMessage::from_raft(message).unwrap()
     };
     commands.send(StoreCommand::RaftMessages(vec![heartbeat(B2, 4), heartbeat(B3, 3)])).unwrap();
-    commands.send(StoreCommand::PersistGossip(codec::encode(&persisted_gossip()))).unwrap();
+    let gossip = StoreCommand::PersistGossip { encoded: codec::encode(&persisted_gossip()), records: 1 };
+    commands.send(gossip).unwrap();
     commands.send(StoreCommand::PersistDrains { drains: pending_drains(), version: 77 }).unwrap();
     while !matches!(next_event(&events).unwrap(), StoreEvent::DrainsPersisted(77)) {}
     drop(commands);
