Test kit: wait until a relay has recorded its client before a test looks it up

The listener accepts as soon as the relay has connected; the relay records the client a moment later, and the test looked it up in between. Attempts are not concerned: the relay records the client before it forwards a byte.

Change: the test sends a byte through the relay first. What it asserts is as before.

--- a/lab/src/endpoint/open_attempts/tests.rs
+++ b/lab/src/endpoint/open_attempts/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::relay::{LinkFaults, Relay, RelayProtocol};
+use std::io::{Read, Write};
 use std::net::TcpListener;
 
 /// Guards against an overlap that is reported because an endpoint's thread has not recorded the end of its attempt yet,
@@ -31,8 +32,11 @@
 fn a_close_that_the_relay_has_not_forwarded_counts() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let relay = Relay::start(listener.local_addr().unwrap(), RelayProtocol::Bytes);
-    let client = TcpStream::connect(relay.address).unwrap();
-    let served = listener.accept().unwrap().0;
+    let mut client = TcpStream::connect(relay.address).unwrap();
+    let mut served = listener.accept().unwrap().0;
+    // The relay records the client before it forwards the first byte.
+    client.write_all(b"x").unwrap();
+    served.read_exact(&mut [0]).unwrap();
     let attempts = OpenAttempts::default();
     let _registration = attempts.register(7, "a", &served);
     assert_eq!(attempts.endpoints_of(7), ["a"]);
@@ -41,7 +45,7 @@
         LinkFaults { delay: std::time::Duration::from_secs(60), ..LinkFaults::NONE },
         LinkFaults::NONE,
     );
-    std::io::Write::write_all(&mut &client, b"x").unwrap();
+    client.write_all(b"x").unwrap();
     crate::eventually("the relay has read the byte", || {
         !is_readable(&relay::client_behind(served.peer_addr().unwrap()).unwrap())
     });
