--- a/review/standin-2/case_10.rs
+++ b/review/standin-2/case_10.rs
@@ -1,11 +1,11 @@
 //! The platform's front at a site where poolers remember the sessions' commits and may not cancel. A client closes its
 //! connection while its write runs; the write is served all the same. Then the session reads on a new connection.
 mod common;
-use common::{Case, Random, free_port, now_ms, run, sleep_ms};
+use common::{Case, Random, free_port, listen, now_ms, release_port, run, sleep_ms};
 use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -70,7 +70,7 @@
 
 impl Host {
     fn start(self: Arc<Host>) {
-        let listener = TcpListener::bind(("127.0.0.1", self.port)).unwrap();
+        let listener = listen(self.port);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let host = self.clone();
@@ -139,7 +139,7 @@
 /// Discovery with a list that never changes.
 fn start_discovery(list: String) -> u16 {
     let port = free_port();
-    let listener = TcpListener::bind(("127.0.0.1", port)).unwrap();
+    let listener = listen(port);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let list = list.clone();
@@ -211,6 +211,7 @@
 }
 
 fn start_pooler(case: &Case, listen: u16, discovery: u16) -> Running {
+    release_port(listen);
     let file = case.temp.join("config.json");
     let text = format!(
         "{{\"name\":\"n0\",\"listen\":\"127.0.0.1:{listen}\",\"discovery\":\"127.0.0.1:{discovery}\",\"seed\":\"8c1f30d27a5be964\",\n\
@@ -250,11 +251,11 @@
             Arc::new(Host { name, port, primary: index == 1, log, last_writes, record }).start();
         }
         let discovery = start_discovery(entries.join(","));
-        let listen = free_port();
-        let _pooler = start_pooler(case, listen, discovery);
+        let clients = free_port();
+        let _pooler = start_pooler(case, clients, discovery);
         let end = Instant::now() + Duration::from_secs(20);
         loop {
-            if let Some(mut client) = Client::open(listen) {
+            if let Some(mut client) = Client::open(clients) {
                 client.send("");
                 if client.answer().is_some() {
                     break;
@@ -269,12 +270,12 @@
         for round in 1..=ROUNDS {
             // A few catalog reads, so that the pooler knows the hosts.
             for _ in 0..3 {
-                let mut other = Client::open(listen).expect("a connection");
+                let mut other = Client::open(clients).expect("a connection");
                 other.send(&format!("/* id={},c=catalog-read,d=2500,cluster=1 */ SELECT payload FROM entries WHERE ref = 'catalog'", id()));
                 other.answer();
             }
             let key = format!("{round:016x}");
-            let mut client = Client::open(listen).expect("a connection");
+            let mut client = Client::open(clients).expect("a connection");
             client.send(&format!(
                 "/* id={},c=score-write,d=2000,k={},cluster=1 */ INSERT INTO entries (ref, payload) VALUES ('{key}', '{round}') RETURNING payload",
                 id(), id()
@@ -301,7 +302,7 @@
             };
             let since = write.answered.unwrap().elapsed().as_millis() as u64;
             sleep_ms(READ_AFTER_ANSWER_MS.saturating_sub(since));
-            let mut client = Client::open(listen).expect("a connection");
+            let mut client = Client::open(clients).expect("a connection");
             client.send(&format!("/* id={},c=own-edit-read,d=2000,cluster=1 */ SELECT payload FROM entries WHERE ref = '{key}'", id()));
             let answer = client.answer().unwrap_or_default();
             case.record.line(&format!("the session of {key} reads: {answer:?}"));
--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -107,20 +107,34 @@
     std::process::exit(code);
 }
 
-/// A free port below those that the system gives to clients, so that it stays free until it is used.
+/// The ports that were given out and are not in use yet, each held by a listener.
+static RESERVED: Mutex<Vec<(u16, TcpListener)>> = Mutex::new(Vec::new());
+
+/// A port below those that the system gives to clients, from a hundred of this process's own, so that a port stays free while
+/// a pooler that listens there is away. It is held until [`release_port`].
 pub fn free_port() -> u16 {
-    static GIVEN: Mutex<Vec<u16>> = Mutex::new(Vec::new());
-    let mut given = GIVEN.lock().unwrap();
-    let mut random = Random(now_ms() as u64 ^ (u64::from(std::process::id()) << 32) ^ given.len() as u64);
+    let mut reserved = RESERVED.lock().unwrap();
+    let mut random = Random(now_ms() as u64 ^ (u64::from(std::process::id()) << 32) ^ reserved.len() as u64);
     loop {
-        let port = 15_000 + random.below(15_000) as u16;
-        if !given.contains(&port) && TcpListener::bind(("127.0.0.1", port)).is_ok() {
-            given.push(port);
+        let port = 15_000 + (std::process::id() % 150) as u16 * 100 + random.below(100) as u16;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            reserved.push((port, listener));
             return port;
         }
     }
 }
 
+/// Frees a port for the process or thread that is about to listen on it.
+pub fn release_port(port: u16) {
+    RESERVED.lock().unwrap().retain(|(reserved, _)| *reserved != port);
+}
+
+/// Listens on a port that [`free_port`] gave.
+pub fn listen(port: u16) -> TcpListener {
+    release_port(port);
+    TcpListener::bind(("127.0.0.1", port)).expect("the port is free")
+}
+
 // ---- the pooler ----
 
 pub const SETTINGS: &str = "settings:
@@ -190,6 +204,7 @@
     /// Starts a node with the command `run` of the deploy file.
     pub fn start(case: &Case, node: &(String, PathBuf, [u16; 3])) -> Pooler {
         let (name, file, [sparql, store, admin]) = node.clone();
+        [sparql, store, admin].into_iter().for_each(release_port);
         let deploy = fs::read_to_string(case.root.join("deploy/balancer.toml")).expect("the deploy file");
         let run = deploy.lines().find(|line| line.starts_with("run ")).expect("the command run");
         let run = run.split('"').nth(1).expect("the command run").to_string();
@@ -220,7 +235,8 @@
     }
 
     pub fn signal(&self, signal: &str) {
-        let status = Command::new("kill").arg(signal).arg(self.child.id().to_string()).status();
+        let command = format!("kill {signal} {}", self.child.id());
+        let status = Command::new("/bin/sh").args(["-c", &command]).status();
         assert!(status.is_ok_and(|status| status.success()), "the signal is sent");
     }
 
@@ -361,7 +377,7 @@
 impl Link {
     pub fn to(target: u16) -> Link {
         let port = free_port();
-        let listener = TcpListener::bind(("127.0.0.1", port)).unwrap();
+        let listener = listen(port);
         let cut = Arc::new(AtomicBool::new(false));
         let is_cut = cut.clone();
         thread::spawn(move || {
@@ -477,7 +493,8 @@
     slots: Mutex<usize>,
     free_slot: Condvar,
     up: AtomicBool,
-    started: Mutex<Instant>,
+    /// When it started, and for how many seconds it had run by then.
+    started: Mutex<(Instant, f64)>,
     streams: Mutex<Vec<TcpStream>>,
 }
 
@@ -495,7 +512,7 @@
             slots: Mutex::new(SLOTS),
             free_slot: Condvar::new(),
             up: AtomicBool::new(false),
-            started: Mutex::new(Instant::now() - Duration::from_secs(86_400).min(Duration::from_secs(600))),
+            started: Mutex::new((Instant::now(), 86_400.0)),
             streams: Mutex::default(),
         });
         endpoint.clone().listen();
@@ -507,7 +524,7 @@
 impl Endpoint {
     /// Listens until the power is lost.
     fn listen(self: Arc<Endpoint>) {
-        let listener = TcpListener::bind(("127.0.0.1", self.port)).expect("the port of the endpoint");
+        let listener = listen(self.port);
         listener.set_nonblocking(true).unwrap();
         self.up.store(true, Ordering::SeqCst);
         thread::spawn(move || {
@@ -535,7 +552,7 @@
     }
 
     pub fn power_on(self: &Arc<Endpoint>) {
-        *self.started.lock().unwrap() = Instant::now();
+        *self.started.lock().unwrap() = (Instant::now(), 0.0);
         self.record.line(&format!("{} starts again", self.name));
         self.clone().listen();
     }
@@ -603,7 +620,8 @@
     fn response(&self, status: u16, position: Option<i64>, body: &str) -> String {
         let position = position.unwrap_or_else(|| self.log.lock().unwrap().position(self.primary));
         let role = if self.primary { "primary" } else { "replica" };
-        let up = self.started.lock().unwrap().elapsed().as_secs_f64();
+        let (started, before) = *self.started.lock().unwrap();
+        let up = before + started.elapsed().as_secs_f64();
         let util = 1.0 - *self.slots.lock().unwrap() as f64 / SLOTS as f64;
         format!(
             "HTTP/1.1 {status} S\r\nBrookpass-Role: {role}\r\nBrookpass-Position: {position}\r\n\
