Limit the rate of warnings to ten in a second for each call site

What callers saw: with clients that send malformed statements, the log grows by as much as they send. Cause: each malformed command wrote a line, in the main thread. One client with statements without an id made 72 MB of log in 12 s (read from the log file of the reproduction), and that is time which other clients do not get. Change: logger::throttle counts warnings by call site, logs ten of a second and then the number of those that it left out. Other levels are as before: they report what this process does, not what peers send.

--- a/src/logger.rs
+++ b/src/logger.rs
@@ -1,8 +1,13 @@
-//! The program's logger: writes each record as one line on standard error, with the time and the level.
+//! The program's logger: writes each record as one line on standard error, with the time and the level. Warnings that
+//! repeat faster than `throttle` permits are counted instead.
 
-use log::{LevelFilter, Log, Metadata, Record};
+mod throttle;
+
+use log::{Level, LevelFilter, Log, Metadata, Record};
 use std::io::Write;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use throttle::{CallSite, Verdict, WarningThrottle};
 
 /// Environment variable with the maximum log level.
 const LEVEL_VARIABLE: &str = "BROOKPASS_LOG";
@@ -13,12 +18,27 @@
 /// installed stays.
 pub fn start() {
     let level = std::env::var(LEVEL_VARIABLE).ok().and_then(|name| name.parse().ok());
-    if log::set_logger(&Logger).is_ok() {
+    if log::set_logger(&LOGGER).is_ok() {
         log::set_max_level(level.unwrap_or(LevelFilter::Info));
     }
 }
 
-struct Logger;
+static LOGGER: Logger = Logger { throttle: Mutex::new(WarningThrottle::new()) };
+
+struct Logger {
+    throttle: Mutex<WarningThrottle>,
+}
+
+impl Logger {
+    fn verdict(&self, record: &Record) -> Verdict {
+        let (Level::Warn, Some(file), Some(line)) = (record.level(), record.file_static(), record.line())
+        else {
+            return Verdict::Log { suppressed_before: 0 };
+        };
+        let mut throttle = self.throttle.lock().unwrap_or_else(PoisonError::into_inner);
+        throttle.check(CallSite { file, line }, Instant::now())
+    }
+}
 
 impl Log for Logger {
     fn enabled(&self, metadata: &Metadata) -> bool {
@@ -29,10 +49,16 @@
         if !self.enabled(record.metadata()) {
             return;
         }
+        let suppressed = match self.verdict(record) {
+            Verdict::Suppress => return,
+            Verdict::Log { suppressed_before: 0 } => String::new(),
+            Verdict::Log { suppressed_before } => format!(" ({suppressed_before} similar lines suppressed)"),
+        };
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         // A record may contain text from peers, which must not be able to forge a log line.
         let text = record.args().to_string().replace(|character: char| character.is_control(), " ");
-        let line = format!("{}.{:03} {:5} {text}\n", now.as_secs(), now.subsec_millis(), record.level());
+        let line =
+            format!("{}.{:03} {:5} {text}{suppressed}\n", now.as_secs(), now.subsec_millis(), record.level());
         // The program must keep running when standard error cannot be written.
         let _ = std::io::stderr().lock().write_all(line.as_bytes());
     }
--- a/tests/client_floods.rs
+++ b/tests/client_floods.rs
@@ -22,6 +22,8 @@
 };
 /// Its requests before the flood.
 const BEFORE_FLOOD: RequestSchedule = RequestSchedule { period: Duration::from_millis(300), ..BESIDE_FLOOD };
+/// Log lines about one kind of event for a flood of this length: 10 in each second that it touches.
+const MAX_WARNINGS: usize = 30;
 /// SSLRequest: its length, and the request code in place of a protocol version.
 const SSL_REQUEST: [u8; 8] = [0, 0, 0, 8, 4, 210, 22, 47];
 
@@ -119,3 +121,17 @@
     }
     assert_served(&beside, "beside datagrams at full speed");
 }
+
+#[test]
+fn malformed_statements_at_full_speed_do_not_fill_the_log() {
+    let _machine = lock_machine();
+    let group = PostgresGroup::start(|_| Reply::Row(b"x"));
+    let mut pooler = start_pooler(&group.endpoint_list());
+    let flood = Flood::start(1, pooler.address, messages::startup(), |_| messages::query("no comment"));
+    thread::sleep(BESIDE_FLOOD.period);
+    let commands = flood.sent_commands();
+    drop(flood);
+    let lines = pooler.process.drain_log().iter().filter(|line| line.contains("no comment")).count();
+    assert!(lines > 0, "malformed statements are logged");
+    assert!(lines <= MAX_WARNINGS, "{lines} lines for {commands} statements");
+}
--- a/tests/stand_in/process.rs
+++ b/tests/stand_in/process.rs
@@ -70,6 +70,13 @@
         }
     }
 
+    /// Returns the log lines that were written so far and not read yet.
+    pub fn drain_log(&mut self) -> Vec<String> {
+        let lines: Vec<String> = self.log.try_iter().collect();
+        self.log_lines.extend(lines.iter().cloned());
+        lines
+    }
+
     /// Waits for a log line that contains `prefix`, and returns the address that follows it.
     pub fn wait_for_address(&mut self, prefix: &str) -> SocketAddr {
         let line = self.wait_for_log(prefix);
