Pace connections whose commands no endpoint gets

What callers saw: with fair turns other clients are answered, but a client that sends empty, malformed or encryption requests at full speed still takes all the processor time that the others leave, which on a small share of a core is theirs. Cause: the number of open requests limits what is forwarded; nothing limited what the front answers itself. Bytes in the socket count as arrived when the pause began. Answers that are available are written together. A paced connection that must close is closed once its commands are answered, and is evicted at once. Forwarded requests are not counted. Ruled out: closing such a connection, as its client comes back at full speed, which costs more than a pause.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -2,6 +2,7 @@
 //! requests, and a close that does not lose the last answer.
 
 mod arrival_times;
+mod pacing;
 
 use super::buffer::{Buffer, READ_CHUNK_BYTES};
 use super::connection_limiter::{ConnectionSlot, SlotState};
@@ -13,6 +14,7 @@
 use arrival_times::ArrivalTimes;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncWriteExt, future};
+use pacing::CommandPacer;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use std::io::{self, Read};
 use std::net::{Shutdown, TcpStream};
@@ -80,6 +82,7 @@
     connected_at: Instant,
     arrival_times: ArrivalTimes,
     turn: Turn,
+    pacer: CommandPacer,
     /// Start of the timeout for the next complete request: for the first request the time of the accept, for others
     /// that of their first byte; `None` between requests.
     request_awaited_since: Option<Instant>,
@@ -102,6 +105,7 @@
             connected_at,
             arrival_times: ArrivalTimes::default(),
             turn: Turn::default(),
+            pacer: CommandPacer::new(connected_at),
             request_awaited_since: Some(connected_at),
         }
     }
@@ -148,6 +152,37 @@
         self.turn.step_over(bytes).await;
     }
 
+    /// Counts a command of `bytes` bytes that the front answers without an endpoint. Too many of them begin a pause.
+    pub fn charge_command(&mut self, bytes: usize) {
+        let now = Instant::now();
+        self.pacer.charge(now, bytes, self.slot.paced_connections());
+        let is_paced = self.pacer.is_paced(now);
+        if is_paced && !self.slot.is_paced() {
+            log::warn!(
+                "client {}: paced: it sends commands that no endpoint gets at full speed",
+                self.peer()
+            );
+        }
+        self.slot.set_paced(is_paced);
+    }
+
+    /// When the current pause ends; `None` if there is none. Until then the front takes no command out of its buffer.
+    pub fn paused_until(&self) -> Option<Instant> {
+        self.pacer.paused_until(Instant::now())
+    }
+
+    /// Waits until the current pause ends, or the connection is evicted. Returns false in the second case.
+    pub async fn wait_until_resumed(&mut self) -> bool {
+        let Some(resume_at) = self.paused_until() else { return true };
+        self.arrival_times.pause(self.clock.now());
+        until(resume_at, self.slot.evicted()).await.is_none()
+    }
+
+    /// The client's address, for log lines.
+    pub fn peer(&self) -> String {
+        self.stream.get_ref().peer_addr().map_or_else(|_| "(disconnected)".into(), |peer| peer.to_string())
+    }
+
     /// Reads once and returns the number of bytes, 0 at the end of the stream.
     ///
     /// # Errors
--- a/src/net/connection_limiter.rs
+++ b/src/net/connection_limiter.rs
@@ -37,6 +37,8 @@
     rejected: RefCell<Connections>,
     /// Part of `Limits::message_budget_bytes` that the long messages of all clients have reserved.
     reserved_message_bytes: Cell<usize>,
+    /// Number of connections whose commands are paced.
+    paced_connections: Cell<usize>,
     /// Sends a message when a slot is released.
     released_sender: Sender<()>,
     released: Receiver<()>,
@@ -53,6 +55,7 @@
             active: RefCell::default(),
             rejected: RefCell::default(),
             reserved_message_bytes: Cell::new(0),
+            paced_connections: Cell::new(0),
             released_sender,
             released,
         })
--- a/src/net/connection_limiter/slot.rs
+++ b/src/net/connection_limiter/slot.rs
@@ -88,6 +88,8 @@
     decision: AcceptDecision,
     /// Part of `Limits::message_budget_bytes` that this connection has reserved.
     reserved_message_bytes: usize,
+    /// Whether this connection counts as one of the limiter's paced connections.
+    is_paced: bool,
 }
 
 impl ConnectionSlot {
@@ -97,7 +99,14 @@
         limiter.next_id.set(id + 1);
         let connection = Rc::new(ConnectionRecord::new());
         limiter.connections(decision).borrow_mut().insert(id, connection.clone());
-        ConnectionSlot { limiter: limiter.clone(), id, connection, decision, reserved_message_bytes: 0 }
+        ConnectionSlot {
+            limiter: limiter.clone(),
+            id,
+            connection,
+            decision,
+            reserved_message_bytes: 0,
+            is_paced: false,
+        }
     }
 
     /// How the connection is handled, as decided when it was accepted.
@@ -143,6 +152,23 @@
         self.try_reserve_message_bytes(0);
     }
 
+    /// Whether the connection's commands are paced, as last set by [`ConnectionSlot::set_paced`].
+    pub fn is_paced(&self) -> bool {
+        self.is_paced
+    }
+
+    /// Records whether the connection's commands are paced.
+    pub fn set_paced(&mut self, is_paced: bool) {
+        let others = self.paced_connections() - usize::from(self.is_paced);
+        self.limiter.paced_connections.set(others + usize::from(is_paced));
+        self.is_paced = is_paced;
+    }
+
+    /// Number of connections whose commands are paced.
+    pub fn paced_connections(&self) -> usize {
+        self.limiter.paced_connections.get()
+    }
+
     /// Whether the connection must close as soon as no request is open.
     pub fn must_close(&self) -> bool {
         self.connection.must_close()
@@ -168,6 +194,7 @@
 impl Drop for ConnectionSlot {
     fn drop(&mut self) {
         self.release_message_bytes();
+        self.set_paced(false);
         self.limiter.connections(self.decision).borrow_mut().remove(&self.id);
         // If the channel is full, the message in it already wakes the waiting task.
         let _ = self.limiter.released_sender.try_send(());
--- a/src/net/postgres/front/client.rs
+++ b/src/net/postgres/front/client.rs
@@ -73,25 +73,26 @@
     /// Writes the oldest pending answer once it is available, or waits for a command if no answer is pending. Returns
     /// early if the client sends more.
     async fn answer_next(&mut self) -> io::Result<ControlFlow<()>> {
+        let available = self.take_available_answers();
+        if !available.is_empty() {
+            self.connection.write(&available).await?;
+            return Ok(ControlFlow::Continue(()));
+        }
         match self.pending.front() {
             None => return self.wait_for_command().await,
-            Some(PendingAnswer::Bytes(bytes)) => {
-                self.connection.write(bytes).await?;
-                self.pending.pop_front();
-            }
-            Some(PendingAnswer::EmptyQuery) => return self.answer_empty_query().await,
+            // Available only once the pooler is ready.
+            Some(PendingAnswer::EmptyQuery) => return self.wait_for_readiness().await,
             Some(PendingAnswer::Request(request)) => {
-                let input = self.session.input_buffer();
-                match next_event(&request.reply, &mut self.connection, input).await {
-                    AnswerEvent::Received(answer) => self.write_final_answer(answer).await?,
-                    AnswerEvent::ChannelClosed => {
-                        self.write_final_answer(FinalAnswer::Failed { deadline: DeadlineStatus::Pending })
-                            .await?;
-                    }
-                    AnswerEvent::ClientData => {}
-                    AnswerEvent::ClientDisconnected => return Ok(ControlFlow::Break(())),
-                }
+                let paused_until = self.connection.paused_until();
+                let event = next_event(&request.reply, &mut self.connection, self.session.input_buffer());
+                let event = match paused_until {
+                    // Commands behind the query are accepted once the pause ends.
+                    Some(resume_at) => until(resume_at, event).await,
+                    None => Some(event.await),
+                };
+                return self.handle_answer_event(event).await;
             }
+            Some(PendingAnswer::Bytes(_)) => {}
             Some(PendingAnswer::Close(bytes)) => {
                 self.connection.write(bytes).await?;
                 self.connection.linger().await?;
@@ -102,6 +103,9 @@
     }
 
     async fn wait_for_command(&mut self) -> io::Result<ControlFlow<()>> {
+        if self.connection.paused_until().is_some() {
+            return self.wait_until_resumed().await;
+        }
         let input = self.session.input_buffer();
         let progress = RequestProgress::of_buffered(input.unread().len());
         let error = match self.connection.wait_for_input(progress, input).await? {
@@ -119,8 +123,46 @@
         Ok(ControlFlow::Break(()))
     }
 
+    /// Waits for the end of a pause. A connection that must close, and whose commands are all answered, is closed
+    /// instead: its client may never let it rest.
+    async fn wait_until_resumed(&mut self) -> io::Result<ControlFlow<()>> {
+        if !self.connection.wait_until_resumed().await {
+            self.close_with(ClientError::Evicted).await?;
+            return Ok(ControlFlow::Break(()));
+        }
+        if self.connection.must_close() && self.session.input_buffer().unread().is_empty() {
+            self.connection.linger().await?;
+            return Ok(ControlFlow::Break(()));
+        }
+        Ok(ControlFlow::Continue(()))
+    }
+
+    /// Removes the oldest pending answers that are available, and returns their messages one after the other.
+    fn take_available_answers(&mut self) -> Vec<u8> {
+        let mut messages = Vec::new();
+        loop {
+            match self.pending.front() {
+                Some(PendingAnswer::Bytes(bytes)) => messages.extend_from_slice(bytes),
+                Some(PendingAnswer::EmptyQuery) if self.front.ready.is_set() => {
+                    messages.extend(self.empty_query_answer());
+                    self.session.query_answered();
+                }
+                _ => return messages,
+            }
+            self.pending.pop_front();
+        }
+    }
+
+    /// Because of the error, the platform's front layer sends no new clients to a drained pooler.
+    fn empty_query_answer(&self) -> Vec<u8> {
+        match self.front.lifecycle.state() {
+            ServingState::Drained => ClientError::Drained.to_query_answer(),
+            ServingState::Serving | ServingState::Terminating => Session::empty_query_answer(),
+        }
+    }
+
     /// Answers an empty query once the pooler is ready, or after `Limits::readiness_timeout`.
-    async fn answer_empty_query(&mut self) -> io::Result<ControlFlow<()>> {
+    async fn wait_for_readiness(&mut self) -> io::Result<ControlFlow<()>> {
         let ready = async {
             self.front.ready.wait().await;
             ControlFlow::Continue(())
@@ -135,12 +177,23 @@
         if until(deadline, future::or(ready, client_disconnected)).await == Some(ControlFlow::Break(())) {
             return Ok(ControlFlow::Break(()));
         }
-        // Because of this error, the platform's front layer sends no new clients to a drained pooler.
-        let bytes = match self.front.lifecycle.state() {
-            ServingState::Drained => ClientError::Drained.to_query_answer(),
-            ServingState::Serving | ServingState::Terminating => Session::empty_query_answer(),
-        };
-        self.write_answer(&bytes).await?;
+        self.write_answer(&self.empty_query_answer()).await?;
+        Ok(ControlFlow::Continue(()))
+    }
+
+    /// Handles an event of the oldest pending query; `None` stands for the end of a pause.
+    async fn handle_answer_event(
+        &mut self,
+        event: Option<AnswerEvent<FinalAnswer<QueryAnswer>>>,
+    ) -> io::Result<ControlFlow<()>> {
+        match event {
+            Some(AnswerEvent::Received(answer)) => self.write_final_answer(answer).await?,
+            Some(AnswerEvent::ChannelClosed) => {
+                self.write_final_answer(FinalAnswer::Failed { deadline: DeadlineStatus::Pending }).await?;
+            }
+            Some(AnswerEvent::ClientDisconnected) => return Ok(ControlFlow::Break(())),
+            Some(AnswerEvent::ClientData) | None => {}
+        }
         Ok(ControlFlow::Continue(()))
     }
 
@@ -154,7 +207,10 @@
             FinalAnswer::Rejected { retry_after, .. } => ClientError::Rejected { retry_after },
             FinalAnswer::Failed { deadline: DeadlineStatus::Passed } => ClientError::DeadlineExceeded,
             FinalAnswer::Failed { deadline: DeadlineStatus::Pending } => ClientError::Failed,
-            FinalAnswer::UnknownGroup => ClientError::UnknownGroup,
+            FinalAnswer::UnknownGroup => {
+                self.connection.charge_command(0);
+                ClientError::UnknownGroup
+            }
         };
         self.write_answer(&error.to_query_answer()).await
     }
--- a/src/net/postgres/front/submission.rs
+++ b/src/net/postgres/front/submission.rs
@@ -28,15 +28,23 @@
 }
 
 impl ClientHandler<'_> {
-    /// Accepts the commands that have arrived completely, until a limit of the connection is reached.
+    /// Accepts the commands that have arrived completely, until a limit of the connection is reached or it is paused.
     ///
     /// # Errors
     /// The client has disconnected.
     pub(super) async fn accept_commands(&mut self) -> io::Result<()> {
-        while !self.is_backlogged() {
+        while !self.is_backlogged() && self.connection.paused_until().is_none() {
             let unread = self.session.input_buffer().unread().len();
-            let answer = match self.session.next_action() {
-                SessionAction::Wait => return Ok(()),
+            let action = self.session.next_action();
+            let consumed = unread - self.session.input_buffer().unread().len();
+            let answer = match action {
+                SessionAction::Wait => {
+                    if consumed > 0 {
+                        // Messages were skipped.
+                        self.connection.charge_command(consumed);
+                    }
+                    return Ok(());
+                }
                 SessionAction::Write(bytes) => PendingAnswer::Bytes(bytes),
                 SessionAction::Close(bytes) => PendingAnswer::Close(bytes),
                 SessionAction::EmptyQuery => {
@@ -45,8 +53,10 @@
                 }
                 SessionAction::Query(text) => self.accept_query(&text).await?,
             };
+            if !matches!(answer, PendingAnswer::Request(_)) {
+                self.connection.charge_command(consumed);
+            }
             self.pending.push_back(answer);
-            let consumed = unread - self.session.input_buffer().unread().len();
             self.connection.step_over(consumed).await;
         }
         Ok(())
--- a/src/net/sparql/front.rs
+++ b/src/net/sparql/front.rs
@@ -109,6 +109,9 @@
         connection: &mut ClientConnection,
         buffer: &mut Buffer,
     ) -> io::Result<AfterResponse> {
+        if !connection.wait_until_resumed().await {
+            return Ok(AfterResponse::Close);
+        }
         match server::next_request(connection, buffer, &self.limits).await {
             NextRequest::ConnectionClosed => Ok(AfterResponse::Close),
             NextRequest::Rejected(error) => {
@@ -127,14 +130,17 @@
     async fn respond(&self, request: &Request, responder: &mut Responder<'_>) -> io::Result<AfterResponse> {
         let (path, _) = request.path_and_query();
         if path == READINESS_PATH {
+            responder.connection.charge_command(0);
             return responder.write(self.readiness_response()).await;
         }
         if path != self.config.path {
+            responder.connection.charge_command(request.body.len());
             return responder.write(ClientError::NotFound.to_response()).await;
         }
         match Operation::parse(request).and_then(|operation| self.prepare(operation)) {
             Ok(prepared) => self.submit(prepared, responder).await,
             Err(error) => {
+                responder.connection.charge_command(request.body.len());
                 log::warn!("client: operation rejected: {error}");
                 responder.write(ClientError::from(error).to_response()).await
             }
@@ -257,7 +263,10 @@
             ClientError::Rejected { retry_after }
         }
         FinalAnswer::Failed { deadline: DeadlineStatus::Pending } => ClientError::Failed,
-        FinalAnswer::UnknownGroup => ClientError::UnknownGroup,
+        FinalAnswer::UnknownGroup => {
+            responder.connection.charge_command(0);
+            ClientError::UnknownGroup
+        }
     };
     responder.write(error.to_response()).await
 }
--- a/tests/client_floods.rs
+++ b/tests/client_floods.rs
@@ -135,3 +135,25 @@
     assert!(lines > 0, "malformed statements are logged");
     assert!(lines <= MAX_WARNINGS, "{lines} lines for {commands} statements");
 }
+
+#[test]
+fn commands_that_no_endpoint_gets_leave_most_of_a_core_free() {
+    let _machine = lock_machine();
+    let group = PostgresGroup::start(|_| Reply::Row(b"x"));
+    let pooler = start_pooler(&group.endpoint_list());
+    let floods: [(Vec<u8>, Vec<u8>); 4] = [
+        (Vec::new(), SSL_REQUEST.to_vec()),
+        (messages::startup(), messages::query("")),
+        (messages::startup(), messages::query("no comment")),
+        (messages::startup(), messages::query(&"x".repeat(100_000))),
+    ];
+    for (first, command) in floods {
+        let length = command.len();
+        let flood = Flood::start(FLOODING_CLIENTS, pooler.address, first, move |_| command.clone());
+        let cpu_before = pooler.process.cpu_time();
+        thread::sleep(BESIDE_FLOOD.period);
+        let cpu_time = pooler.process.cpu_time() - cpu_before;
+        let commands = flood.sent_commands();
+        assert!(cpu_time < BESIDE_FLOOD.period / 2, "{cpu_time:?} for {commands} commands of {length} bytes");
+    }
+}
--- a/tests/stand_in/process.rs
+++ b/tests/stand_in/process.rs
@@ -87,6 +87,18 @@
         after_prefix[..end].parse().unwrap()
     }
 
+    /// CPU time that all threads of the process have used.
+    pub fn cpu_time(&self) -> Duration {
+        /// CPU times in `/proc` are in ticks of `USER_HZ`, which is 100 on Linux.
+        const TICK: Duration = Duration::from_millis(10);
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        // The fields after the command's name, which is in parentheses: the 12th and 13th are the ticks in user mode
+        // and in the kernel.
+        let fields = stat.rsplit(')').next().unwrap().split_whitespace();
+        let ticks: u32 = fields.skip(11).take(2).map(|field| field.parse::<u32>().unwrap()).sum();
+        TICK * ticks
+    }
+
     /// Sends a signal, named as for kill(1): `-TERM`.
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
