Time out clients that never complete a request although they send without a break

What callers saw: a client that sent requests for encryption at full speed kept its connection for as long as it sent. Cause: ClientConnection::wait_for_input prefers input over its timeout, so the timeout fired only when nothing arrived. Evidence: on the build before, a connection stayed open for the 3 s of the test, and for 19 minutes in a first form of the test that had no end of its own. Change: the timeout ends the connection a quarter of a second later also while input arrives, within the 3 s that such clients are owed an error. Result: a_client_that_only_requests_encryption_is_disconnected_in_time failed before and passes.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -19,7 +19,10 @@
 use std::io::{self, Read};
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// How much longer than `Limits::first_request_timeout` a client may send without a break until a request is complete.
+const CONSTANT_INPUT_GRACE: Duration = Duration::from_millis(250);
 
 /// How much of the next request is buffered while a connection waits for input.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -232,6 +235,10 @@
         }
         let request_deadline =
             self.request_awaited_since.map(|since| since + self.limits.first_request_timeout);
+        // The timeout below fires only when there is nothing to read.
+        if request_deadline.is_some_and(|deadline| now >= deadline + CONSTANT_INPUT_GRACE) {
+            return Ok(ReadEvent::TimedOut);
+        }
         let grace_end = match self.slot.has_received_request() {
             true => None,
             false => Some(self.connected_at + self.limits.silent_client_grace),
--- a/tests/client_floods.rs
+++ b/tests/client_floods.rs
@@ -4,13 +4,15 @@
 
 use stand_in::flood::{Flood, RequestSchedule, assert_served, measure_reads};
 use stand_in::platform::{PostgresGroup, read_statement, start_pooler, start_pooler_with_config};
+use stand_in::postgres::client::PostgresClient;
 use stand_in::postgres::endpoint::Reply;
 use stand_in::postgres::messages::{self, kind};
-use std::net::UdpSocket;
+use std::io::{Read, Write};
+use std::net::{Shutdown, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Number of connections that send at full speed.
 const FLOODING_CLIENTS: usize = 6;
@@ -24,6 +26,8 @@
 const BEFORE_FLOOD: RequestSchedule = RequestSchedule { period: Duration::from_millis(300), ..BESIDE_FLOOD };
 /// Log lines about one kind of event for a flood of this length: 10 in each second that it touches.
 const MAX_WARNINGS: usize = 30;
+/// Within this time a client that sends no valid request gets an error or is disconnected.
+const DISCONNECTED_WITHIN: Duration = Duration::from_secs(3);
 /// SSLRequest: its length, and the request code in place of a protocol version.
 const SSL_REQUEST: [u8; 8] = [0, 0, 0, 8, 4, 210, 22, 47];
 
@@ -157,3 +161,29 @@
         assert!(cpu_time < BESIDE_FLOOD.period / 2, "{cpu_time:?} for {commands} commands of {length} bytes");
     }
 }
+
+#[test]
+fn a_client_that_only_requests_encryption_is_disconnected_in_time() {
+    let _machine = lock_machine();
+    let group = PostgresGroup::start(|_| Reply::Row(b"x"));
+    let pooler = start_pooler(&group.endpoint_list());
+    let mut client = PostgresClient::connect_without_startup(pooler.address);
+    let mut writer = client.stream.try_clone().unwrap();
+    let connected_at = Instant::now();
+    let sending = thread::spawn(move || while writer.write_all(&SSL_REQUEST.repeat(100)).is_ok() {});
+    let mut refusals_and_error = Vec::new();
+    let mut chunk = [0; 4096];
+    while connected_at.elapsed() < DISCONNECTED_WITHIN
+        && let Ok(count) = client.stream.read(&mut chunk)
+        && count > 0
+    {
+        refusals_and_error.extend_from_slice(&chunk[..count]);
+    }
+    let open_for = connected_at.elapsed();
+    let _ = client.stream.shutdown(Shutdown::Both);
+    sending.join().unwrap();
+    assert!(open_for < DISCONNECTED_WITHIN, "disconnected after {open_for:?}");
+    let error =
+        refusals_and_error.iter().position(|byte| *byte != b'N').expect("an error after the refusals");
+    assert_eq!(refusals_and_error[error], kind::ERROR_RESPONSE);
+}
