Check for a disconnect before the first request after each read is forwarded

What callers saw: a client closed its connection with much still unread, and its requests were sent on afterwards. Bytes that have waited in the socket, behind a full buffer or while the process was held up, count as read just now, however long the client is gone. Change: the first request after each read is checked too, by one system call for each read that completes a request. Ruled out: requests that wait in the buffer or in the engine; those are checked and cancelled as before.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -86,6 +86,8 @@
     arrival_times: ArrivalTimes,
     turn: Turn,
     pacer: CommandPacer,
+    /// Whether input was read since the last check whether the client has disconnected.
+    has_unchecked_input: bool,
     /// Start of the timeout for the next complete request: for the first request the time of the accept, for others
     /// that of their first byte; `None` between requests.
     request_awaited_since: Option<Instant>,
@@ -109,6 +111,7 @@
             arrival_times: ArrivalTimes::default(),
             turn: Turn::default(),
             pacer: CommandPacer::new(connected_at),
+            has_unchecked_input: false,
             request_awaited_since: Some(connected_at),
         }
     }
@@ -139,14 +142,16 @@
             .is_ok_and(|ready_count| ready_count > 0 && polled[0].revents().intersects(closed))
     }
 
-    /// Whether the client of a request that arrived at `arrived_at` has closed its connection since.
+    /// Whether the client of a request that was read at `read_at` has closed its connection.
     ///
-    /// The check costs a system call, so it is made only if the request may have waited to be read: for a connection's
-    /// first request, and after `Limits::departure_check_interval` in the buffer.
-    pub fn has_disconnected_since(&self, arrived_at: Timestamp) -> bool {
+    /// The check costs a system call, so it is made only if the answer may have changed: for the first request after
+    /// each read, since its bytes may have waited in the socket, and for those that waited in the buffer for
+    /// `Limits::departure_check_interval`.
+    pub fn has_disconnected_since(&mut self, read_at: Timestamp) -> bool {
         let check_interval = TimeDelta::from(self.limits.departure_check_interval);
-        let has_waited = self.clock.now() - arrived_at >= check_interval;
-        (has_waited || !self.slot.has_received_request()) && self.has_disconnected()
+        let has_waited = self.clock.now() - read_at >= check_interval;
+        let is_first_after_read = std::mem::take(&mut self.has_unchecked_input);
+        (has_waited || is_first_after_read) && self.has_disconnected()
     }
 
     /// Counts a step in which the connection's task decoded `bytes` bytes of input, see [`Turn::step_over`]. Loops that
@@ -192,7 +197,9 @@
     /// The I/O error of the read; the connection is broken.
     pub async fn read(&mut self, into: &mut Buffer) -> io::Result<usize> {
         self.turn.step().await;
-        self.arrival_times.fill(&self.stream, into, &self.clock).await
+        let count = self.arrival_times.fill(&self.stream, into, &self.clock).await?;
+        self.has_unchecked_input = true;
+        Ok(count)
     }
 
     /// Writes all bytes.
@@ -247,6 +254,7 @@
         let timed_out = async { Ok(wait_for_timeout(request_deadline).await) };
         let read = async {
             let count = self.arrival_times.fill(&self.stream, into, &self.clock).await?;
+            self.has_unchecked_input = true;
             Ok(if count > 0 { ReadEvent::Data } else { ReadEvent::Closed })
         };
         // `or` prefers its first argument: input that has arrived is read before a request to close takes effect.
--- a/tests/client_departures.rs
+++ b/tests/client_departures.rs
@@ -206,3 +206,29 @@
         "the endpoint is told {deadline_ms} ms, {elapsed_ms} ms after the client sent the request"
     );
 }
+
+/// Guards against forwarding what a client sent right before it disconnected, if the pooler reads it only later.
+#[test]
+fn requests_that_are_read_after_their_client_has_disconnected_are_not_forwarded() {
+    let group = PostgresGroup::start(|_| Reply::Row(b"x"));
+    let pooler = start_pooler(&group.endpoint_list());
+    let mut client = PostgresClient::connect(pooler.address);
+    assert!(client.query(&read_statement("first", 1_000)).value.is_some());
+    pooler.process.signal("-STOP");
+    let mut pipelined = Vec::new();
+    for number in 0..50 {
+        pipelined.extend(messages::query(&read_statement(&format!("left-{number}"), REMOTE_DEADLINE_MS)));
+    }
+    client.send(&pipelined);
+    drop(client);
+    // An attempt that begins later than 0.1 s after the disconnect counts as a lost request.
+    thread::sleep(Duration::from_millis(150));
+    pooler.process.signal("-CONT");
+    let mut other = PostgresClient::connect(pooler.address);
+    for number in 0..20 {
+        other.query(&read_statement(&format!("other-{number}"), 1_000));
+    }
+    let statements = [group.primary.statements(), group.replica.statements()].concat();
+    let forwarded = statements.iter().filter(|text| text.contains("id=left-")).count();
+    assert_eq!(forwarded, 0, "requests forwarded after the disconnect");
+}
