Keep the id of a request reserved after its client has disconnected

What callers saw: an id ran twice when it came again after its client had left. Cause: the reservation of an id ended with the client's connection. The attempt in flight was cancelled by closing its connection, which does not recall what the endpoint runs, or went on where the settings permit no cancelling. Change: OpenRequestIds retains the id of a request that was open when its client disconnected, for 5 s after its attempt has ended: at once, or at its deadline where attempts are not cancelled. A request with such an id gets 42710, as for one that is open. An id whose request was never read is not affected: clients may send that again. Result: an_id_that_comes_again_after_its_client_has_disconnected_is_not_run_twice failed before (the second write reached the primary) and passes.

--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -145,6 +145,7 @@
             ready: first_list_sent,
             lifecycle: self.lifecycle.clone(),
             open_requests: Default::default(),
+            cancels_attempts: self.config.settings.may_cancel == Some(true),
         };
         let acceptor = accept_clients(&self.executor, listener, &limiter, front);
         let PlatformDaemon { limits, lifecycle, engine, .. } = self;
--- a/src/net/postgres/front.rs
+++ b/src/net/postgres/front.rs
@@ -26,6 +26,7 @@
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Instant;
 
 /// State shared by all client connections of the front.
 pub struct Front {
@@ -41,6 +42,8 @@
     pub lifecycle: Rc<Lifecycle>,
     /// Ids of the requests that have no answer yet.
     pub open_requests: OpenRequestIds,
+    /// Whether the settings permit that an attempt is cancelled once its client has disconnected.
+    pub cancels_attempts: bool,
 }
 
 impl Front {
@@ -59,6 +62,13 @@
         client.cancel_open_requests().await;
     }
 
+    /// When the last attempt of a request with this deadline ends if its client disconnects now.
+    fn may_run_until(&self, deadline: Timestamp) -> Instant {
+        let clock = self.handle.clock();
+        let now = clock.now();
+        clock.instant_of(if self.cancels_attempts { now } else { deadline.max(now) })
+    }
+
     /// Converts a statement to a request for the engine; `None` if its class is unknown.
     fn incoming_request(&self, statement: &Statement) -> Option<IncomingRequest> {
         let key =
--- a/src/net/postgres/front/client.rs
+++ b/src/net/postgres/front/client.rs
@@ -21,7 +21,11 @@
 use std::collections::VecDeque;
 use std::io;
 use std::ops::ControlFlow;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// How long the id of a request whose client has disconnected stays reserved after its last attempt has ended. An
+/// endpoint that does not notice the end may run it until its client's timeout, which is 3 s at most on the platform.
+const ABANDONED_ID_RETENTION: Duration = Duration::from_secs(5);
 
 /// A client connection with its protocol state and pending answers.
 pub(super) struct ClientHandler<'a> {
@@ -61,11 +65,14 @@
         }
     }
 
-    /// Cancels the open requests of a closed connection, since no client waits for their answers.
+    /// Cancels the open requests of a closed connection, since no client waits for their answers. Their ids stay
+    /// reserved for a while, because an endpoint may still run them.
     pub(super) async fn cancel_open_requests(self) {
         for pending in self.pending {
             if let PendingAnswer::Request(request) = pending {
                 self.front.handle.send_input(Input::RequestCancelled(request.id)).await;
+                let retained_until = self.front.may_run_until(request.deadline) + ABANDONED_ID_RETENTION;
+                request.reserved_id.retain(retained_until);
             }
         }
     }
--- a/src/net/postgres/front/submission.rs
+++ b/src/net/postgres/front/submission.rs
@@ -24,7 +24,9 @@
     pub(super) reply: Receiver<FinalAnswer<QueryAnswer>>,
     /// Length of its statement, counted against `Limits::read_ahead_bytes`.
     statement_bytes: usize,
-    _reserved_id: ReservedId,
+    /// When the client stops waiting for the answer.
+    pub(super) deadline: Timestamp,
+    pub(super) reserved_id: ReservedId,
 }
 
 impl ClientHandler<'_> {
@@ -116,6 +118,6 @@
         let Some((id, reply)) = submitted else {
             return Err(ClientError::Terminating { retry_after: TimeDelta::from(limits.front_retry_after) });
         };
-        Ok(OpenRequest { id, reply, statement_bytes: text.len(), _reserved_id: reserved_id })
+        Ok(OpenRequest { id, reply, statement_bytes: text.len(), deadline, reserved_id })
     }
 }
--- a/tests/client_departures.rs
+++ b/tests/client_departures.rs
@@ -6,7 +6,7 @@
 use stand_in::discovery::{ScriptedDiscoveryServer, endpoint_json, snapshot_json};
 use stand_in::platform::{
     PostgresGroup, SETTINGS, config, keyed_write_statement, read_statement, start_pooler,
-    start_pooler_with_config, start_process,
+    start_pooler_with_config, start_process, write_statement,
 };
 use stand_in::postgres::client::{PostgresClient, PostgresResponse, row_of};
 use stand_in::postgres::endpoint::{PostgresEndpoint, Reply, release_channel};
@@ -232,3 +232,21 @@
     let forwarded = statements.iter().filter(|text| text.contains("id=left-")).count();
     assert_eq!(forwarded, 0, "requests forwarded after the disconnect");
 }
+
+/// Guards against a write that runs twice: its client disconnects, and its id comes again while the first attempt may
+/// still run.
+#[test]
+fn an_id_that_comes_again_after_its_client_has_disconnected_is_not_run_twice() {
+    let group = PostgresGroup::start(|_| Reply::NoResponse);
+    let pooler = start_pooler(&group.endpoint_list());
+    let mut client = PostgresClient::connect(pooler.address);
+    client.send_query(&write_statement("again", REMOTE_DEADLINE_MS));
+    eventually("the write has reached the primary", || group.primary.statement_count() == 1);
+    drop(client);
+    let closed = group.primary.closed_connections.recv_timeout(DEFAULT_TIMEOUT);
+    assert_eq!(closed, Ok(true), "the attempt's connection is closed");
+    let mut other = PostgresClient::connect(pooler.address);
+    let repeated = other.query(&write_statement("again", 1_000));
+    assert_eq!(repeated.sqlstate.as_deref(), Some("42710"), "the first write may have run");
+    assert_eq!(group.primary.statement_count(), 1);
+}
