Test: memory beside hundreds of clients that stop within long requests, and answers beside valid reads at full speed

Operators of other deployments saw a process pass its memory limit with hundreds of clients that wrote slowly, stopped half way through a large request or sent heads of very many short fields. Nothing to mend; a test with the limit of 64 MB guards it. Valid reads at full speed from six connections leave no request of another client without an answer either.

--- a/tests/client_floods.rs
+++ b/tests/client_floods.rs
@@ -187,3 +187,49 @@
         refusals_and_error.iter().position(|byte| *byte != b'N').expect("an error after the refusals");
     assert_eq!(refusals_and_error[error], kind::ERROR_RESPONSE);
 }
+
+#[test]
+fn valid_reads_at_full_speed_leave_no_other_client_without_an_answer() {
+    let _machine = lock_machine();
+    let group = PostgresGroup::start(|_| Reply::Row(b"x"));
+    let pooler = start_pooler(&group.endpoint_list());
+    let flood = Flood::start(FLOODING_CLIENTS, pooler.address, messages::startup(), |number| {
+        messages::query(&read_statement(&format!("flood-{number}"), 1_000))
+    });
+    let beside = measure_reads(pooler.address, "beside", BESIDE_FLOOD);
+    assert!(beside.lost.is_empty(), "beside {} reads: {beside:?}", flood.sent_commands());
+}
+
+#[test]
+fn hundreds_of_clients_that_stop_within_long_requests_stay_within_the_memory_limit() {
+    const MEMORY_LIMIT_MB: u64 = 64;
+    const CLIENTS: usize = 480;
+    let _machine = lock_machine();
+    let group = PostgresGroup::start(|_| Reply::NoResponse);
+    let pooler = start_pooler_with_config(&group.endpoint_list(), |text| {
+        text.replace("\"memory_mb\":192", &format!("\"memory_mb\":{MEMORY_LIMIT_MB}"))
+    });
+    let mut clients = Vec::new();
+    for number in 0..CLIENTS {
+        let mut client = PostgresClient::connect_without_startup(pooler.address);
+        let complete = messages::query(&long_read_statement(number, 40_000));
+        let mut incomplete = messages::query(&long_read_statement(CLIENTS + number, 130_000));
+        incomplete.truncate(120_000);
+        let sent = match number % 2 {
+            0 => [messages::startup(), incomplete].concat(),
+            _ => [messages::startup(), complete, incomplete].concat(),
+        };
+        // The pooler rejects what it has no room for, and closes the connection.
+        let _ = client.stream.write_all(&sent);
+        clients.push(client);
+    }
+    thread::sleep(DISCONNECTED_WITHIN);
+    let peak_mb = pooler.process.peak_memory_kib() / 1024;
+    assert!(peak_mb < MEMORY_LIMIT_MB, "{peak_mb} MB of {MEMORY_LIMIT_MB}");
+}
+
+/// A read whose statement has this many bytes more than [`read_statement`].
+fn long_read_statement(number: usize, bytes: usize) -> String {
+    let value = format!("'{}'", "a".repeat(bytes));
+    read_statement(&format!("long-{number}"), 2_500).replace("'a'", &value)
+}
--- a/tests/stand_in/process.rs
+++ b/tests/stand_in/process.rs
@@ -99,6 +99,13 @@
         TICK * ticks
     }
 
+    /// The most memory that the process has used so far, in KiB.
+    pub fn peak_memory_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        peak.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     /// Sends a signal, named as for kill(1): `-TERM`.
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
