Log late answers, delays of the main thread, and the client of each warning

Need: the logs that were saved in staging had no line for a request that was answered late or never. They could not tell a held-up main thread from a slow endpoint, and no line named the client that caused it. At the level debug: which request has which id and class, how it was answered, requests whose client has disconnected, the end of each connection. Result: delays_of_the_main_thread_and_late_answers_are_logged holds a pooler up for 0.9 s and finds both lines.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -13,6 +13,7 @@
 pub mod platform;
 pub mod shutdown;
 pub mod signals;
+mod stall_monitor;
 
 pub use error::{ConfigError, DaemonError};
 
@@ -35,6 +36,7 @@
     F: Future<Output = Result<(), DaemonError>>,
 {
     let executor: Executor = Rc::new(LocalExecutor::new());
+    executor.spawn(stall_monitor::report_stalls()).detach();
     let run_tasks = async {
         loop {
             for _ in 0..TURNS_PER_REACTOR_POLL {
--- a/src/net/postgres/front.rs
+++ b/src/net/postgres/front.rs
@@ -56,8 +56,9 @@
             AcceptDecision::Serve => client.run().await,
             AcceptDecision::Reject => client.reject_connection().await,
         };
-        if let Err(error) = served {
-            log::debug!("client: connection ended: {error}");
+        match served {
+            Ok(()) => log::debug!("client {}: connection ended", client.connection.peer()),
+            Err(error) => log::debug!("client {}: connection ended: {error}", client.connection.peer()),
         }
         client.cancel_open_requests().await;
     }
--- a/src/net/postgres/front/client.rs
+++ b/src/net/postgres/front/client.rs
@@ -27,6 +27,9 @@
 /// endpoint that does not notice the end may run it until its client's timeout, which is 3 s at most on the platform.
 const ABANDONED_ID_RETENTION: Duration = Duration::from_secs(5);
 
+/// Answers that are written later than this after the deadline are reported.
+const REPORTED_ANSWER_DELAY: Duration = Duration::from_millis(50);
+
 /// A client connection with its protocol state and pending answers.
 pub(super) struct ClientHandler<'a> {
     pub(super) front: &'a Front,
@@ -70,6 +73,7 @@
     pub(super) async fn cancel_open_requests(self) {
         for pending in self.pending {
             if let PendingAnswer::Request(request) = pending {
+                log::debug!("request {}: its client has disconnected", request.id);
                 self.front.handle.send_input(Input::RequestCancelled(request.id)).await;
                 let retained_until = self.front.may_run_until(request.deadline) + ABANDONED_ID_RETENTION;
                 request.reserved_id.retain(retained_until);
@@ -205,6 +209,7 @@
     }
 
     async fn write_final_answer(&mut self, answer: FinalAnswer<QueryAnswer>) -> io::Result<()> {
+        self.log_answer(&answer);
         let error = match answer {
             FinalAnswer::Served(QueryAnswer::Streamed(chunks)) => return self.write_stream(chunks).await,
             FinalAnswer::Served(QueryAnswer::Buffered(mut rows)) => {
@@ -222,6 +227,28 @@
         self.write_answer(&error.to_query_answer()).await
     }
 
+    /// Logs how the oldest pending query is answered, and warns if its client no longer waits for the answer.
+    fn log_answer(&self, answer: &FinalAnswer<QueryAnswer>) {
+        let Some(PendingAnswer::Request(request)) = self.pending.front() else { return };
+        let kind = match answer {
+            FinalAnswer::Served(_) => "served",
+            FinalAnswer::Rejected { .. } => "rejected",
+            FinalAnswer::Failed { deadline: DeadlineStatus::Passed } => "failed at its deadline",
+            FinalAnswer::Failed { deadline: DeadlineStatus::Pending } => "failed",
+            FinalAnswer::UnknownGroup => "unknown group",
+        };
+        log::debug!("client {}: request {}: {kind}", self.connection.peer(), request.id);
+        let delay = self.front.handle.clock().now() - request.deadline;
+        if delay > TimeDelta::from(REPORTED_ANSWER_DELAY) {
+            log::warn!(
+                "client {}: id {:?}: {kind}, {} ms after the deadline",
+                self.connection.peer(),
+                request.reserved_id.id(),
+                delay.as_millis()
+            );
+        }
+    }
+
     /// Writes a streamed answer to the oldest pending query. If the endpoint breaks off, the connection is closed
     /// without ReadyForQuery, so that the client can detect that the answer is incomplete.
     async fn write_stream(&mut self, chunks: Receiver<StreamChunk>) -> io::Result<()> {
@@ -254,7 +281,7 @@
 
     /// Writes a fatal error and closes the connection.
     async fn close_with(&mut self, error: ClientError) -> io::Result<()> {
-        log::debug!("client: connection closed: {error}");
+        log::warn!("client {}: connection closed: {error}", self.connection.peer());
         self.connection.write(&error.to_error_response()).await?;
         self.connection.linger().await
     }
--- a/src/net/postgres/front/open_requests.rs
+++ b/src/net/postgres/front/open_requests.rs
@@ -58,6 +58,11 @@
 }
 
 impl ReservedId {
+    /// The id as the client sent it.
+    pub(super) fn id(&self) -> &str {
+        &self.id
+    }
+
     /// Keeps the id reserved until `until`: its client has disconnected, but an attempt may still run.
     pub(super) fn retain(mut self, until: Instant) {
         let mut ids = self.ids.0.borrow_mut();
--- a/src/net/postgres/front/submission.rs
+++ b/src/net/postgres/front/submission.rs
@@ -99,25 +99,32 @@
     /// Submits a statement whose last byte arrived at `arrived`, from which its deadline is counted.
     async fn submit(&self, text: &str, arrived: Timestamp) -> Result<OpenRequest, ClientError> {
         let statement: Statement = text.parse().map_err(|error| {
-            log::warn!("client: invalid statement: {error}");
+            log::warn!("client {}: invalid statement: {error}", self.connection.peer());
             error
         })?;
         let Some(request) = self.front.incoming_request(&statement) else {
-            log::warn!("client: unknown class {:?}", excerpt(&statement.class));
+            log::warn!("client {}: unknown class {:?}", self.connection.peer(), excerpt(&statement.class));
             return Err(ClientError::UnknownClass);
         };
         let Some(reserved_id) = self.front.open_requests.reserve(&statement.id) else {
-            log::warn!("client: another open request has the id {:?}", statement.id);
+            log::warn!("client {}: another request has the id {:?}", self.connection.peer(), statement.id);
             return Err(ClientError::DuplicateRequestId);
         };
         let limits = &self.front.limits;
         // Leaves time for the answer to reach the client before its timeout.
         let margin = TimeDelta::from(limits.answer_margin);
         let deadline = arrived + (statement.client_timeout - margin).or_zero();
-        let submitted = self.front.handle.submit(request, deadline, Arc::new(statement)).await;
+        let statement = Arc::new(statement);
+        let submitted = self.front.handle.submit(request, deadline, statement.clone()).await;
         let Some((id, reply)) = submitted else {
             return Err(ClientError::Terminating { retry_after: TimeDelta::from(limits.front_retry_after) });
         };
+        log::debug!(
+            "client {}: request {id} has the id {:?} and the class {:?}",
+            self.connection.peer(),
+            statement.id,
+            statement.class
+        );
         Ok(OpenRequest { id, reply, statement_bytes: text.len(), deadline, reserved_id })
     }
 }
--- a/src/net/sparql/front.rs
+++ b/src/net/sparql/front.rs
@@ -115,7 +115,7 @@
         match server::next_request(connection, buffer, &self.limits).await {
             NextRequest::ConnectionClosed => Ok(AfterResponse::Close),
             NextRequest::Rejected(error) => {
-                log::warn!("client: request rejected: {error}");
+                log::warn!("client {}: request rejected: {error}", connection.peer());
                 let close = [("Connection", "close")];
                 connection.write(&server::text_response(error.status(), &close, &error.to_string())).await?;
                 Ok(AfterResponse::Close)
@@ -141,7 +141,7 @@
             Ok(prepared) => self.submit(prepared, responder).await,
             Err(error) => {
                 responder.connection.charge_command(request.body.len());
-                log::warn!("client: operation rejected: {error}");
+                log::warn!("client {}: operation rejected: {error}", responder.connection.peer());
                 responder.write(ClientError::from(error).to_response()).await
             }
         }
--- a/tests/client_floods.rs
+++ b/tests/client_floods.rs
@@ -3,10 +3,13 @@
 mod stand_in;
 
 use stand_in::flood::{Flood, RequestSchedule, assert_served, measure_reads};
-use stand_in::platform::{PostgresGroup, read_statement, start_pooler, start_pooler_with_config};
+use stand_in::platform::{
+    PostgresGroup, read_statement, start_pooler, start_pooler_with_config, write_statement,
+};
 use stand_in::postgres::client::PostgresClient;
 use stand_in::postgres::endpoint::Reply;
 use stand_in::postgres::messages::{self, kind};
+use stand_in::waiting::eventually;
 use std::io::{Read, Write};
 use std::net::{Shutdown, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -233,3 +236,23 @@
     let value = format!("'{}'", "a".repeat(bytes));
     read_statement(&format!("long-{number}"), 2_500).replace("'a'", &value)
 }
+
+#[test]
+fn delays_of_the_main_thread_and_late_answers_are_logged() {
+    let _machine = lock_machine();
+    let group = PostgresGroup::start(|_| Reply::NoResponse);
+    let mut pooler = start_pooler(&group.endpoint_list());
+    let mut client = PostgresClient::connect(pooler.address);
+    client.send_query(&write_statement("held", 300));
+    eventually("the write has reached the primary", || group.primary.statement_count() == 1);
+    pooler.process.signal("-STOP");
+    thread::sleep(Duration::from_millis(900));
+    pooler.process.signal("-CONT");
+    client.receive().expect("a final answer");
+    let mut lines = Vec::new();
+    eventually("both are logged", || {
+        lines.extend(pooler.process.drain_log());
+        let contains = |text: &str| lines.iter().any(|line| line.contains(text));
+        contains("main thread: tasks were delayed by") && contains("id \"held\": failed at its deadline, ")
+    });
+}
