--- a/src/net/postgres/front.rs
+++ b/src/net/postgres/front.rs
@@ -1,9 +1,11 @@
 //! The front for PostgreSQL clients: the state that its connections share, and the handling of one connection.
 //!
-//! - `client`: main loop of a connection, which writes answers in the order of the commands
+//! - `client`: main loop of a connection, which answers its commands in their order
+//! - `answers`: writes the answers
 //! - `submission`: decodes received commands and submits them to the engine
 //! - `open_requests`: ids of the requests that have no answer yet
 
+mod answers;
 mod client;
 mod open_requests;
 mod submission;
