Cut excerpts without a method that older compilers lack

str::floor_char_boundary came with Rust 1.91 and the manifest states no minimum; the other machines are not known here.

--- a/src/net/excerpt.rs
+++ b/src/net/excerpt.rs
@@ -9,7 +9,8 @@
     if text.len() <= MAX_QUOTED_BYTES {
         return text.to_string();
     }
-    let end = text.floor_char_boundary(MAX_QUOTED_BYTES);
+    let boundary = (0..=MAX_QUOTED_BYTES).rev().find(|index| text.is_char_boundary(*index));
+    let end = boundary.unwrap_or(0);
     format!("{}…", &text[..end])
 }
 
