Failing test: new work at draining endpoints after an outage of discovery

tests/discovery_outages.rs plays outages of discovery with real processes: calls that hang, trickle, are reset or refused, alone and mixed; lists that are pushed or must be asked for; after SIGHUP and at a start from a saved list.

--- /dev/null
+++ b/tests/discovery_outages.rs
@@ -0,0 +1,264 @@
+//! Outages of discovery that end with a change: endpoints that drain get no new work once the pooler can know of it.
+
+mod stand_in;
+
+use stand_in::discovery::{endpoint_json, snapshot_json};
+use stand_in::failing_discovery::{CallFault, FailingDiscovery};
+use stand_in::platform::{SETTINGS, StartedProcess, config, read_statement, start_process};
+use stand_in::postgres::client::PostgresClient;
+use stand_in::postgres::endpoint::{PostgresEndpoint, Reply};
+use stand_in::process::{Process, test_directory};
+use stand_in::waiting::eventually;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// New work at a draining endpoint is allowed for the settings' grace of 250 ms and a slack of 50 ms, counted from when
+/// discovery has the drain and answers new calls.
+const LAST_WORK_WITHIN: Duration = Duration::from_millis(300);
+/// How long endpoints are observed after a change.
+const OBSERVED_AFTER_CHANGE: Duration = Duration::from_millis(4_500);
+/// How long the pooler serves before an outage.
+const QUIET_TIME: Duration = Duration::from_millis(700);
+/// Pause of a client between two requests.
+const THINK_TIME: Duration = Duration::from_millis(4);
+const CLIENTS: usize = 3;
+const ENDPOINTS: usize = 4;
+/// The endpoints from this position on drain.
+const FIRST_DRAINED: usize = 2;
+
+/// An endpoint that records when it gets work.
+struct RecordingEndpoint {
+    endpoint: PostgresEndpoint,
+    arrivals: Arc<Mutex<Vec<Instant>>>,
+}
+
+impl RecordingEndpoint {
+    fn start() -> RecordingEndpoint {
+        let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
+        let recorded = arrivals.clone();
+        let endpoint = PostgresEndpoint::replica(move |_| {
+            recorded.lock().unwrap().push(Instant::now());
+            Reply::Row(b"value")
+        });
+        RecordingEndpoint { endpoint, arrivals }
+    }
+
+    fn arrivals_since(&self, since: Instant) -> Vec<Instant> {
+        self.arrivals.lock().unwrap().iter().copied().filter(|arrival| *arrival >= since).collect()
+    }
+}
+
+/// A pooler with its discovery, its endpoints, and clients that read all the time.
+struct Site {
+    process: Process,
+    config_path: PathBuf,
+    discovery: FailingDiscovery,
+    endpoints: Vec<RecordingEndpoint>,
+    stop_clients: Arc<AtomicBool>,
+    clients: Vec<JoinHandle<()>>,
+}
+
+/// What the pooler knows of discovery when it starts.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Start {
+    /// Discovery answers.
+    DiscoveryAnswers,
+    /// Discovery hangs; the configuration has a saved list.
+    FromSavedList,
+}
+
+impl Site {
+    fn start() -> Site {
+        Site::start_with(Start::DiscoveryAnswers, SETTINGS)
+    }
+
+    fn start_with(start: Start, settings: &str) -> Site {
+        let endpoints: Vec<RecordingEndpoint> = (0..ENDPOINTS).map(|_| RecordingEndpoint::start()).collect();
+        let entries: Vec<String> = (0..ENDPOINTS).map(|number| entry(&endpoints, number, "active")).collect();
+        let discovery = FailingDiscovery::start(&entries);
+        let mut text = config("127.0.0.1:0", discovery.address, settings);
+        if start == Start::FromSavedList {
+            discovery.fail(&[CallFault::Hang]);
+            text = text.replace("\"seed\"", &format!("\"known\":{},\n\"seed\"", snapshot_json(1, &entries)));
+        }
+        let config_path = test_directory("outage").join("config.json");
+        std::fs::write(&config_path, text).unwrap();
+        let StartedProcess { process, address } = start_process(&config_path);
+        let stop_clients: Arc<AtomicBool> = Arc::default();
+        let clients = (0..CLIENTS)
+            .map(|client| {
+                let stop = stop_clients.clone();
+                thread::spawn(move || read_until_stopped(address, client, &stop))
+            })
+            .collect();
+        let site = Site { process, config_path, discovery, endpoints, stop_clients, clients };
+        site.wait_until_all_endpoints_serve();
+        site
+    }
+
+    fn wait_until_all_endpoints_serve(&self) {
+        eventually("every endpoint serves", || {
+            self.endpoints.iter().all(|endpoint| !endpoint.arrivals.lock().unwrap().is_empty())
+        });
+    }
+
+    /// Puts the last endpoints into a drain. Returns when discovery had it.
+    fn drain(&self) -> Instant {
+        let drained = FIRST_DRAINED..ENDPOINTS;
+        drained.map(|number| self.change(number, "leaving")).max().unwrap()
+    }
+
+    fn change(&self, number: usize, status: &str) -> Instant {
+        self.discovery.change(number, entry(&self.endpoints, number, status))
+    }
+
+    /// Lets calls fail for `length`.
+    fn outage(&self, faults: &[CallFault], length: Duration) {
+        thread::sleep(QUIET_TIME);
+        self.discovery.fail(faults);
+        thread::sleep(length);
+    }
+
+    /// How long after `known_at` the draining endpoints got their last work.
+    fn last_work_after(&self, known_at: Instant) -> Duration {
+        thread::sleep(OBSERVED_AFTER_CHANGE);
+        let served_by_others = self.endpoints[0].arrivals_since(known_at + LAST_WORK_WITHIN).len();
+        assert!(served_by_others > 20, "the others get the work: {served_by_others}");
+        let drained = self.endpoints[FIRST_DRAINED..].iter();
+        let last = drained.flat_map(|endpoint| endpoint.arrivals_since(known_at)).max();
+        last.map_or(Duration::ZERO, |last| last - known_at)
+    }
+
+    /// Plays an outage whose end brings a drain.
+    fn last_work_after_outage(&self, faults: &[CallFault], length: Duration) -> Duration {
+        self.outage(faults, length);
+        self.drain();
+        let recovered_at = self.discovery.recover();
+        self.last_work_after(recovered_at)
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.stop_clients.store(true, Ordering::Relaxed);
+        for client in self.clients.drain(..) {
+            let ended = client.join();
+            assert!(ended.is_ok() || thread::panicking(), "a client saw an unserved request");
+        }
+    }
+}
+
+fn entry(endpoints: &[RecordingEndpoint], number: usize, status: &str) -> String {
+    endpoint_json(&format!("host-{number}"), endpoints[number].endpoint.address, 1, status)
+}
+
+fn read_until_stopped(address: SocketAddr, client: usize, stop: &AtomicBool) {
+    let mut connection = PostgresClient::connect(address);
+    assert!(connection.query("").is_empty_query, "the pooler reports that it is ready");
+    for number in 0.. {
+        if stop.load(Ordering::Relaxed) {
+            return;
+        }
+        let response = connection.query(&read_statement(&format!("{client}-{number}"), 2_000));
+        assert!(response.value.is_some(), "request {client}-{number}: {response:?}");
+        thread::sleep(THINK_TIME);
+    }
+}
+
+/// Plays outages of these lengths at the same time, each with a pooler of its own, and checks the end of new work.
+fn check_outages(faults: &[CallFault], lengths_ms: &[u64]) {
+    check_all(lengths_ms, |length_ms| {
+        Site::start().last_work_after_outage(faults, Duration::from_millis(length_ms))
+    });
+}
+
+/// Runs `play` for each of these times in parallel; it returns when the last new work came.
+fn check_all(times_ms: &[u64], play: impl Fn(u64) -> Duration + Sync) {
+    let last_work: Vec<(u64, Duration)> = thread::scope(|scope| {
+        let plays: Vec<_> = times_ms.iter().map(|time| (*time, scope.spawn(|| play(*time)))).collect();
+        plays.into_iter().map(|(time, play)| (time, play.join().unwrap())).collect()
+    });
+    let late = last_work.iter().any(|(_, last)| *last > LAST_WORK_WITHIN);
+    assert!(!late, "ms and the last new work at draining endpoints: {last_work:?}");
+}
+
+#[test]
+fn drained_endpoints_get_no_new_work_after_an_outage_of_unanswered_calls() {
+    check_outages(&[CallFault::Hang], &[300, 800, 1_700, 3_100, 5_000, 7_500]);
+}
+
+#[test]
+fn drained_endpoints_get_no_new_work_after_an_outage_of_trickling_answers() {
+    check_outages(&[CallFault::Trickle], &[1_000, 4_000, 6_400]);
+}
+
+#[test]
+fn drained_endpoints_get_no_new_work_after_an_outage_of_reset_calls() {
+    check_outages(&[CallFault::Reset], &[700, 3_300, 7_000]);
+}
+
+#[test]
+fn drained_endpoints_get_no_new_work_after_an_outage_of_refused_connections() {
+    check_outages(&[CallFault::Refuse], &[900, 3_600, 7_000]);
+}
+
+#[test]
+fn drained_endpoints_get_no_new_work_after_an_outage_of_mixed_faults() {
+    let faults = [CallFault::Hang, CallFault::Reset, CallFault::Hang, CallFault::Trickle];
+    check_outages(&faults, &[1_200, 4_100, 7_700]);
+}
+
+#[test]
+fn drained_endpoints_get_no_new_work_when_calls_are_answered_at_the_return() {
+    check_outages(&[CallFault::AnswerAtRecovery], &[1_000, 4_200, 7_000]);
+}
+
+#[test]
+fn a_drain_soon_after_the_return_of_discovery_is_in_use_in_time() {
+    check_all(&[20, 150, 400, 900, 2_000], |delay_ms| {
+        let site = Site::start();
+        site.outage(&[CallFault::Hang], Duration::from_secs(4));
+        site.discovery.recover();
+        thread::sleep(Duration::from_millis(delay_ms));
+        let known_at = site.drain();
+        site.last_work_after(known_at)
+    });
+}
+
+#[test]
+fn a_drain_is_in_use_in_time_after_an_outage_of_a_discovery_that_must_be_asked() {
+    let settings = SETTINGS.replace("\"automatic\"", "\"subscribe\"");
+    check_all(&[400, 3_000, 6_300], |length_ms| {
+        let site = Site::start_with(Start::DiscoveryAnswers, &settings);
+        site.last_work_after_outage(&[CallFault::Hang], Duration::from_millis(length_ms))
+    });
+}
+
+#[test]
+fn a_drain_is_in_use_in_time_after_a_start_from_a_saved_list() {
+    check_all(&[500, 2_000, 5_000], |length_ms| {
+        let site = Site::start_with(Start::FromSavedList, SETTINGS);
+        site.last_work_after_outage(&[CallFault::Hang], Duration::from_millis(length_ms))
+    });
+}
+
+#[test]
+fn a_drain_is_in_use_in_time_after_sighup_to_a_discovery_that_hangs() {
+    check_all(&[300, 2_900, 6_000], |length_ms| {
+        let mut site = Site::start();
+        let entries: Vec<String> =
+            (0..ENDPOINTS).map(|number| entry(&site.endpoints, number, "active")).collect();
+        let second = FailingDiscovery::start(&entries);
+        second.fail(&[CallFault::Hang]);
+        let first = std::mem::replace(&mut site.discovery, second);
+        let text = std::fs::read_to_string(&site.config_path).unwrap();
+        let moved = text.replace(&first.address.to_string(), &site.discovery.address.to_string());
+        std::fs::write(&site.config_path, moved).unwrap();
+        site.process.signal("-HUP");
+        site.last_work_after_outage(&[CallFault::Hang], Duration::from_millis(length_ms))
+    });
+}
--- a/tests/stand_in/discovery.rs
+++ b/tests/stand_in/discovery.rs
@@ -34,12 +34,13 @@
     format!(r#"{{"index":{index},"snapshot":{is_snapshot},"endpoints":[{}]}}"#, endpoints.join(","))
 }
 
-fn ok_response(body: &str) -> String {
+/// A response with status 200 and this body.
+pub fn ok_response(body: &str) -> String {
     format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
 }
 
 /// The index after which a watch waits for changes; `None` when the call requests the complete list.
-fn watched_index(request: &HttpMessage) -> Option<u64> {
+pub fn watched_index(request: &HttpMessage) -> Option<u64> {
     let after = request.first_line.split("after=").nth(1)?;
     after.split(['&', ' ']).next()?.parse().ok()
 }
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -7,6 +7,7 @@
 #![allow(dead_code)]
 
 pub mod discovery;
+pub mod failing_discovery;
 pub mod flood;
 pub mod http;
 pub mod network;
