Log and count how calls to discovery fail, and how old the list is

What operators missed in the incident: the log had one line for each failed call, without how long calls had failed, how the earlier ones failed and how old the list was; nothing said when the list was current again, and there was no metric.

Change: net::discovery::status records each failed call by kind (silent, refused, reset, malformed, overloaded, unreachable) and each response that proves that the list is current. A line reports failing calls at most every 5 s, another one the end of failures that were reported. GET /v1/metrics has svc.discovery.list_age_ms, failing_ms, outages and failed.KIND. Calls and timeouts are as before.

--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -35,6 +35,7 @@
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::time::Instant;
 
 /// Environment variable with the admin server's address; used if the configuration file does not specify one.
 const ADMIN_VARIABLE: &str = "GW_ADMIN_ADDR";
@@ -164,12 +165,13 @@
 
     fn start_admin_server(&self, first_list_sent: &Latch) -> Result<(), DaemonError> {
         let Some(address) = self.config.admin else { return Ok(()) };
+        let discovery = self.discovery.status();
         let server = AdminServer::new(
             &self.limits,
             self.engine.clone(),
             self.lifecycle.clone(),
             first_list_sent.clone(),
-            String::new,
+            move || discovery.statsd_text(Instant::now()),
         );
         serve_admin(&self.executor, address, &self.config.name, &self.limits, server)
     }
--- a/src/daemon/platform/endpoint_lists.rs
+++ b/src/daemon/platform/endpoint_lists.rs
@@ -5,7 +5,7 @@
 use crate::daemon::signals::SignalStream;
 use crate::engine::endpoints::{EndpointCatalog, EndpointUpdate, ListCoverage};
 use crate::engine::{Control, EngineHandle};
-use crate::net::discovery;
+use crate::net::discovery::{self, DiscoveryClient, DiscoveryStatus};
 use crate::net::latch::Latch;
 use crate::platform_config::PlatformConfig;
 use async_channel::{Receiver, Sender};
@@ -77,6 +77,7 @@
 /// The address of discovery, which a reload may change, and the channel for requests to fetch the whole list.
 pub struct Discovery {
     address: Rc<Cell<SocketAddr>>,
+    status: Rc<DiscoveryStatus>,
     fetch_sender: Sender<()>,
     fetch_receiver: Receiver<()>,
 }
@@ -85,7 +86,13 @@
     /// Creates a discovery that initially uses `address`; nothing is fetched before [`Discovery::watch`].
     pub fn new(address: SocketAddr) -> Discovery {
         let (fetch_sender, fetch_receiver) = async_channel::bounded(1);
-        Discovery { address: Rc::new(Cell::new(address)), fetch_sender, fetch_receiver }
+        let address = Rc::new(Cell::new(address));
+        Discovery { address, status: Rc::default(), fetch_sender, fetch_receiver }
+    }
+
+    /// The condition of discovery.
+    pub fn status(&self) -> Rc<DiscoveryStatus> {
+        self.status.clone()
     }
 
     /// A message on this channel makes [`Discovery::watch`] fetch the whole list.
@@ -128,6 +135,7 @@
         A: Send + 'static,
     {
         let address = self.address.clone();
+        let status = self.status.clone();
         let fetch_requests = self.fetch_receiver.clone();
         let zones = config.zones.clone();
         let seed = config.seed;
@@ -140,7 +148,15 @@
                 let engine = &engine;
                 async move { lists.deliver(&update, engine).await }
             };
-            discovery::watch(&address, &zones, &limits, seed, &fetch_requests, deliver).await;
+            let client = DiscoveryClient {
+                address: &address,
+                zones: &zones,
+                limits: &limits,
+                seed,
+                refetch: &fetch_requests,
+                status: &status,
+            };
+            discovery::watch(client, deliver).await;
         };
         executor.spawn(task).detach();
     }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -7,6 +7,7 @@
 mod backoff;
 mod call;
 mod error;
+mod status;
 
 use super::http::client::ServerConnection;
 use super::until;
@@ -22,22 +23,34 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// Watches discovery; never returns. `deliver` receives each whole list and each update that contains changes. `zones`
-/// are the names of the zones by number, and `seed` initializes the random numbers for jitter.
-///
-/// A message on `refetch` requests the whole list, from the address that `address` then holds. It interrupts a call or
-/// a pause, because discovery at the old address may no longer respond.
+pub use status::DiscoveryStatus;
+
+/// What the watch of discovery needs.
+pub struct DiscoveryClient<'a> {
+    /// The address of discovery, which may change.
+    pub address: &'a Cell<SocketAddr>,
+    /// The names of the zones by number.
+    pub zones: &'a [String],
+    /// Timeouts, pauses and sizes.
+    pub limits: &'a Limits,
+    /// Initializes the random numbers for jitter.
+    pub seed: u64,
+    /// A message requests the whole list, from the address that `address` then holds. It interrupts a call or a pause,
+    /// because discovery at the old address may no longer respond.
+    pub refetch: &'a Receiver<()>,
+    /// Where the condition of discovery is recorded.
+    pub status: &'a DiscoveryStatus,
+}
+
+/// Watches discovery; never returns. `deliver` receives each whole list and each update that contains changes.
 pub async fn watch<F: Future<Output = ()>>(
-    address: &Cell<SocketAddr>,
-    zones: &[String],
-    limits: &Limits,
-    seed: u64,
-    refetch: &Receiver<()>,
+    client: DiscoveryClient<'_>,
     deliver: impl Fn(EndpointUpdate) -> F,
 ) {
+    let DiscoveryClient { address, zones, limits, seed, refetch, status } = client;
     let backoff = Backoff::new(limits, seed);
     let mut watcher =
-        Watcher { address, zones, limits, refetch, connection: None, known_index: None, backoff };
+        Watcher { address, zones, limits, refetch, connection: None, known_index: None, backoff, status };
     loop {
         let started_at = Instant::now();
         match watcher.call().await {
@@ -74,6 +87,7 @@
     /// The index of the last list; `None` if the next call must fetch the whole list.
     known_index: Option<u64>,
     backoff: Backoff<'a>,
+    status: &'a DiscoveryStatus,
 }
 
 impl Watcher<'_> {
@@ -101,6 +115,7 @@
     /// Records the index of a received list, and returns whether it differs from the previous one.
     fn record_index(&mut self, list: &EndpointUpdate) -> bool {
         self.backoff.reset();
+        self.status.record_current(Instant::now(), list.version);
         let is_new = self.known_index != Some(list.version);
         self.known_index = Some(list.version);
         is_new
@@ -119,7 +134,7 @@
 
     /// Pauses after a failed call. The last delivered list stays in use.
     async fn back_off(&mut self, error: &DiscoveryError) {
-        log::warn!("discovery: {error}; the last endpoint list stays in use");
+        self.status.record_failure(Instant::now(), error);
         self.connection = None;
         if matches!(error, DiscoveryError::IndexWentBack { .. }) {
             self.known_index = None;
