Probe a discovery that leaves calls unanswered, so that a drain is known when it is back

What callers saw: attempts were sent to draining servers later than the grace after discovery had returned; the servers refused them and the requests were served elsewhere.

Cause: one call at a time. A call that hangs kept the next one from being made for up to 2.6 s, a pause of up to 1.5 s followed, and a watch of 2 s hid an outage that began during it. A class of fault: a wait that is sized for the other side's sake is also the time until news arrives. To blame: Watcher::call and Watcher::back_off in net::discovery, Backoff::call_times.

Ruled out: a list that is applied late or lost (discovery wrote nothing to the node in the window of the evidence; in the reproduction new work ends within a millisecond where the pending call is answered), a main thread that is held up (the same), no descriptor (the log names timeouts).

Change: a call that is overdue goes on, because a discovery under load may respond late, and beside it discovery is probed every 75 to 100 ms on a second connection; the first response ends the call. Watches last 0.1 s while discovery responds promptly. Responses that are late, 429 or 503, or whole lists without need lower the pace; where all poolers share one discovery, the interval grows with their number. While a whole list is fetched (start with a saved list, SIGHUP) probes bring the changes since the earlier one.

Why it works: the time from the return to the next call is one probe interval, whatever became of the calls before.

--- a/src/config.rs
+++ b/src/config.rs
@@ -27,6 +27,8 @@
 /// Time that an overloaded discovery takes for one call. Repeated calls are spread over this time multiplied by the
 /// number of poolers.
 const DISCOVERY_CALL_COST: Duration = Duration::from_millis(200);
+/// Mean time between two calls of a tier to the one discovery that its poolers share, while it responds or is probed.
+const SHARED_DISCOVERY_CALL_INTERVAL: Duration = Duration::from_millis(5);
 /// Number of poolers in a tier above which the spread of their calls no longer grows.
 const MAX_SPREAD_POOLERS: u32 = 10_000;
 /// Maximum spread of the calls that are repeated after discovery rejected them. A change must take effect within 6 s
@@ -137,6 +139,10 @@
     pub discovery_answer_bytes: usize,
     /// How long discovery may hold a watch open while the list does not change.
     pub discovery_watch_timeout: Duration,
+    /// The same while discovery responds promptly: an outage that begins during a watch is noticed only at its end.
+    pub discovery_short_watch_timeout: Duration,
+    /// A call that is unanswered for this long is overdue; from then on discovery is probed at this interval.
+    pub discovery_probe_interval: Duration,
     /// How much longer than `discovery_watch_timeout` discovery may take to answer.
     pub discovery_timeout: Duration,
     /// How long discovery may hold the first call after a failed one.
@@ -365,6 +371,15 @@
         self.discovery_spread = (DISCOVERY_CALL_COST * poolers).min(MAX_DISCOVERY_SPREAD);
     }
 
+    /// Sets how often each of the poolers that call the same discovery calls it.
+    pub fn share_discovery(&mut self, pooler_count: Option<u32>) {
+        let poolers = pooler_count.unwrap_or(1).clamp(1, MAX_SPREAD_POOLERS);
+        let interval = (SHARED_DISCOVERY_CALL_INTERVAL * poolers)
+            .clamp(DEFAULTS.discovery_probe_interval, DEFAULTS.discovery_watch_timeout);
+        self.discovery_short_watch_timeout = interval;
+        self.discovery_probe_interval = interval;
+    }
+
     /// Sets the idle timeout of backend connections for backends that close idle ones after `seconds`. This process
     /// closes its connections well before that, since a request sent while the backend closes may or may not be
     /// executed.
--- a/src/config/defaults.rs
+++ b/src/config/defaults.rs
@@ -62,6 +62,10 @@
     // A silent watch must be detected within the 6 s in which a change must be applied, counted from its receipt by
     // discovery. Detection takes one watch, its timeout, the first backoff and another timeout.
     discovery_watch_timeout: Duration::from_secs(2),
+    // Together with one probe interval, the time until a silent discovery is probed. A drain must be in use 0.3 s after
+    // discovery is back, however short its outage was.
+    discovery_short_watch_timeout: Duration::from_millis(100),
+    discovery_probe_interval: Duration::from_millis(100),
     discovery_timeout: Duration::from_secs(1),
     // Short, because the 6 s for applying a change also pass while no watch is open.
     discovery_recheck_timeout: Duration::from_millis(100),
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -208,6 +208,10 @@
     let mut limits = Limits::for_resources(machine);
     limits.share_client_connections(config.sockets.unwrap_or(DEFAULT_SOCKETS) / 3);
     limits.spread_discovery_calls(config.settings.pooler_count);
+    if config.settings.must_subscribe == Some(true) {
+        // Otherwise discovery is an agent on the pooler's own machine.
+        limits.share_discovery(config.settings.pooler_count);
+    }
     limits.set_backend_idle_timeout(config.backend_idle_secs);
     limits.bound_shutdown_by_deadlines(config.settings.classes.iter().map(|class| class.deadline));
     if let Some(timeout) = config.settings.connect_timeout {
--- a/src/daemon/platform/endpoint_lists.rs
+++ b/src/daemon/platform/endpoint_lists.rs
@@ -139,6 +139,7 @@
         let fetch_requests = self.fetch_receiver.clone();
         let zones = config.zones.clone();
         let seed = config.seed;
+        let saved_index = config.cached_list.as_ref().map(|list| list.version);
         let lists = lists.clone();
         let engine = engine.clone();
         let limits = limits.clone();
@@ -153,6 +154,7 @@
                 zones: &zones,
                 limits: &limits,
                 seed,
+                saved_index,
                 refetch: &fetch_requests,
                 status: &status,
             };
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,31 +1,36 @@
 //! Watches discovery by long polling and delivers each update of the endpoint list as soon as it arrives.
 //!
 //! The first call fetches the whole list. Each later call requests the changes since the index of the last list, and
-//! discovery holds it until there are changes. `call` makes a single call; `backoff` chooses timeouts and the pauses
-//! after failures.
+//! discovery holds it until there are changes. `call` makes a single call; `pace` chooses how often discovery is called,
+//! `backoff` timeouts and the pauses after failures; `prober` finds out when a discovery that does not respond is back.
 
 mod backoff;
 mod call;
 mod error;
+mod pace;
+mod prober;
 mod status;
 
 use super::http::client::ServerConnection;
-use super::until;
 use crate::config::Limits;
 use crate::engine::endpoints::{EndpointUpdate, ListCoverage};
 use async_channel::Receiver;
+use async_io::Timer;
 use backoff::Backoff;
-use call::DiscoveryCall;
+use call::{DiscoveryCall, Transfer};
 use error::DiscoveryError;
 use futures_lite::future;
+use pace::{Pace, TimedResponse};
+use prober::{Baseline, ProbeResult, Prober};
 use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-pub use status::DiscoveryStatus;
+pub use status::{DiscoveryStatus, FailureKind};
 
 /// What the watch of discovery needs.
+#[derive(Clone, Copy)]
 pub struct DiscoveryClient<'a> {
     /// The address of discovery, which may change.
     pub address: &'a Cell<SocketAddr>,
@@ -35,6 +40,8 @@
     pub limits: &'a Limits,
     /// Initializes the random numbers for jitter.
     pub seed: u64,
+    /// The index of the list that was saved before the start; `None` if there is none.
+    pub saved_index: Option<u64>,
     /// A message requests the whole list, from the address that `address` then holds. It interrupts a call or a pause,
     /// because discovery at the old address may no longer respond.
     pub refetch: &'a Receiver<()>,
@@ -47,103 +54,205 @@
     client: DiscoveryClient<'_>,
     deliver: impl Fn(EndpointUpdate) -> F,
 ) {
-    let DiscoveryClient { address, zones, limits, seed, refetch, status } = client;
-    let backoff = Backoff::new(limits, seed);
-    let mut watcher =
-        Watcher { address, zones, limits, refetch, connection: None, known_index: None, backoff, status };
+    let mut watcher = Watcher::new(client);
     loop {
-        let started_at = Instant::now();
-        match watcher.call().await {
-            CallOutcome::List(list) => {
-                let is_new = watcher.record_index(&list);
+        match watcher.next_event(&deliver).await {
+            WatchEvent::List(list) => {
                 if list.coverage == ListCoverage::Complete || !list.entries.is_empty() {
                     deliver(list).await;
                 }
-                if !is_new {
-                    watcher.pause_after_short_watch(started_at).await;
-                }
             }
-            CallOutcome::Failed(error) => watcher.back_off(&error).await,
-            CallOutcome::RefetchRequested => watcher.reset(),
+            WatchEvent::Failed(error) => watcher.pause_after_failure(&error),
+            WatchEvent::PauseEnded => {}
+            WatchEvent::RefetchRequested => watcher.reset(),
         }
     }
 }
 
-/// Result of a call.
-enum CallOutcome {
+/// What ended a call or a pause.
+enum WatchEvent {
     List(EndpointUpdate),
     Failed(DiscoveryError),
-    /// The call was interrupted because the whole list was requested.
+    PauseEnded,
+    /// The whole list was requested.
     RefetchRequested,
 }
 
+/// A pause between two calls.
+#[derive(Clone, Copy, Debug)]
+struct Pause {
+    until: Instant,
+    during: DuringPause,
+}
+
+/// What happens during a pause.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum DuringPause {
+    /// Nothing, because discovery has responded.
+    Nothing,
+    /// Probes, because discovery has not responded.
+    Probes,
+}
+
 struct Watcher<'a> {
-    address: &'a Cell<SocketAddr>,
-    zones: &'a [String],
-    limits: &'a Limits,
-    refetch: &'a Receiver<()>,
+    client: DiscoveryClient<'a>,
     /// The connection of the last call, if it can be reused.
     connection: Option<ServerConnection>,
     /// The index of the last list; `None` if the next call must fetch the whole list.
     known_index: Option<u64>,
+    /// The index that probes name: that of the last list or, while `known_index` is `None`, of an earlier one.
+    probe_index: Option<u64>,
+    /// When the next probe is due; `None` while discovery responds.
+    next_probe_at: Option<Instant>,
+    /// The pause before the next call.
+    pause: Option<Pause>,
     backoff: Backoff<'a>,
-    status: &'a DiscoveryStatus,
+    pace: Pace<'a>,
 }
 
-impl Watcher<'_> {
-    async fn call(&mut self) -> CallOutcome {
-        let call = DiscoveryCall {
-            address: self.address.get(),
-            known_index: self.known_index,
-            times: self.backoff.call_times(self.known_index.is_some()),
-            zones: self.zones,
-            limits: self.limits,
+impl<'a> Watcher<'a> {
+    fn new(client: DiscoveryClient<'a>) -> Watcher<'a> {
+        Watcher {
+            client,
+            connection: None,
+            known_index: None,
+            probe_index: client.saved_index,
+            next_probe_at: None,
+            pause: None,
+            backoff: Backoff::new(client.limits, client.seed),
+            pace: Pace::new(client.limits, client.seed),
+        }
+    }
+
+    /// Makes a call, or pauses, until something happens.
+    async fn next_event<F: Future<Output = ()>>(
+        &mut self,
+        deliver: &impl Fn(EndpointUpdate) -> F,
+    ) -> WatchEvent {
+        let refetch = self.client.refetch;
+        let refetch = async {
+            refetch_requested(refetch).await;
+            WatchEvent::RefetchRequested
         };
-        let response = async {
-            match call.run(&mut self.connection).await {
-                Ok(list) => CallOutcome::List(list),
-                Err(error) => CallOutcome::Failed(error),
+        let next = async {
+            match self.pause.take() {
+                Some(pause) => self.wait(pause, deliver).await,
+                None => self.call(deliver).await,
             }
         };
-        let refetch = async {
-            refetch_requested(self.refetch).await;
-            CallOutcome::RefetchRequested
+        future::or(refetch, next).await
+    }
+
+    async fn wait<F: Future<Output = ()>>(
+        &mut self,
+        pause: Pause,
+        deliver: &impl Fn(EndpointUpdate) -> F,
+    ) -> WatchEvent {
+        let elapsed = async {
+            Timer::at(pause.until).await;
+            None
         };
-        future::or(response, refetch).await
+        if pause.during == DuringPause::Nothing {
+            elapsed.await;
+            return WatchEvent::PauseEnded;
+        }
+        let transfer = Transfer::default();
+        let overdue_at = Instant::now() + self.pace.probe_interval();
+        let mut prober = self.prober(&transfer);
+        let probes = async { Some(prober.run(overdue_at, deliver).await) };
+        match future::or(elapsed, probes).await {
+            Some(result) => self.probed(result),
+            None => WatchEvent::PauseEnded,
+        }
     }
 
-    /// Records the index of a received list, and returns whether it differs from the previous one.
-    fn record_index(&mut self, list: &EndpointUpdate) -> bool {
-        self.backoff.reset();
-        self.status.record_current(Instant::now(), list.version);
-        let is_new = self.known_index != Some(list.version);
-        self.known_index = Some(list.version);
-        is_new
+    async fn call<F: Future<Output = ()>>(&mut self, deliver: &impl Fn(EndpointUpdate) -> F) -> WatchEvent {
+        let started_at = Instant::now();
+        let watch_timeout = self.known_index.map(|_| self.pace.watch_timeout());
+        let times = self.backoff.call_times(watch_timeout);
+        let transfer = Transfer::default();
+        let call =
+            DiscoveryCall { client: self.client, known_index: self.known_index, times, transfer: &transfer };
+        let mut connection = self.connection.take();
+        let overdue_at = started_at + times.watch_timeout + self.pace.overdue_after();
+        // While discovery is probed, this call takes the place of a probe.
+        self.next_probe_at = self.next_probe_at.map(|_| started_at + self.pace.probe_interval());
+        let mut prober = self.prober(&transfer);
+        let response = async { CallEnd::Response(call.run(&mut connection).await) };
+        let probes = async { CallEnd::Probe(prober.run(overdue_at, deliver).await) };
+        match future::or(response, probes).await {
+            CallEnd::Response(Ok(list)) => {
+                self.connection = connection;
+                self.received(list, started_at, times.watch_timeout)
+            }
+            CallEnd::Response(Err(error)) => WatchEvent::Failed(error),
+            CallEnd::Probe(result) => self.probed(result),
+        }
     }
 
-    /// Pauses if a call returned early without changes, so that a discovery that does not hold calls is not polled in a
-    /// tight loop.
-    async fn pause_after_short_watch(&mut self, started_at: Instant) {
-        let shortest_pause = self.limits.discovery_backoff.min;
-        if started_at.elapsed() < shortest_pause
-            && self.pause(shortest_pause).await == PauseEnd::RefetchRequested
-        {
-            self.known_index = None;
+    fn prober<'w>(&'w mut self, transfer: &'w Transfer) -> Prober<'w, 'a> {
+        let baseline = if self.known_index.is_some() { Baseline::KnownList } else { Baseline::EarlierList };
+        Prober {
+            client: self.client,
+            pace: &mut self.pace,
+            baseline,
+            index: &mut self.probe_index,
+            next_probe_at: &mut self.next_probe_at,
+            transfer,
+        }
+    }
+
+    /// Handles the response to a call that started at `started_at`.
+    fn received(&mut self, list: EndpointUpdate, started_at: Instant, watch_timeout: Duration) -> WatchEvent {
+        let now = Instant::now();
+        let took = now - started_at;
+        let is_unchanged = self.known_index == Some(list.version);
+        self.client.status.record_current(now, list.version);
+        self.pace.record_response(TimedResponse { list: &list, watch_timeout, took, is_unchanged });
+        let shortest_interval = self.client.limits.discovery_backoff.min;
+        if is_unchanged && took < shortest_interval {
+            // Discovery does not hold calls, and must not be called in a tight loop.
+            self.pause = Some(Pause { until: now + shortest_interval, during: DuringPause::Nothing });
         }
+        self.record_list(&list);
+        WatchEvent::List(list)
+    }
+
+    fn probed(&mut self, result: ProbeResult) -> WatchEvent {
+        match result {
+            ProbeResult::List(list, connection) => {
+                self.connection = connection;
+                self.record_list(&list);
+                WatchEvent::List(list)
+            }
+            ProbeResult::Failed(error) => WatchEvent::Failed(error),
+        }
+    }
+
+    fn record_list(&mut self, list: &EndpointUpdate) {
+        self.known_index = Some(list.version);
+        self.probe_index = Some(list.version);
+        self.next_probe_at = None;
+        self.backoff.reset();
     }
 
-    /// Pauses after a failed call. The last delivered list stays in use.
-    async fn back_off(&mut self, error: &DiscoveryError) {
-        self.status.record_failure(Instant::now(), error);
+    /// Sets the pause after a failed call. The last delivered list stays in use.
+    fn pause_after_failure(&mut self, error: &DiscoveryError) {
+        let now = Instant::now();
+        self.client.status.record_failure(now, error);
         self.connection = None;
+        let kind = error.kind();
         if matches!(error, DiscoveryError::IndexWentBack { .. }) {
             self.known_index = None;
         }
-        let pause = self.backoff.record_failure(error);
-        if self.pause(pause).await == PauseEnd::RefetchRequested {
-            self.known_index = None;
-            self.backoff.reset();
+        if kind == FailureKind::Overloaded {
+            self.pace.record_overload();
+        }
+        let during = if kind.is_response() { DuringPause::Nothing } else { DuringPause::Probes };
+        if during == DuringPause::Nothing {
+            self.next_probe_at = None;
         }
+        self.pause = Some(Pause { until: now + self.backoff.record_failure(error), during });
     }
 
     /// Forgets the connection, the index and the failures, because the address may have changed. The connection of an
@@ -151,23 +260,17 @@
     fn reset(&mut self) {
         self.connection = None;
         self.known_index = None;
+        self.next_probe_at = None;
+        self.pause = None;
         self.backoff.reset();
-    }
-
-    /// Pauses, unless the whole list is requested before.
-    async fn pause(&self, pause: Duration) -> PauseEnd {
-        match until(Instant::now() + pause, refetch_requested(self.refetch)).await {
-            Some(()) => PauseEnd::RefetchRequested,
-            None => PauseEnd::Elapsed,
-        }
+        self.pace.reset();
     }
 }
 
-/// Why a pause ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum PauseEnd {
-    Elapsed,
-    RefetchRequested,
+/// What ended a call.
+enum CallEnd {
+    Response(Result<EndpointUpdate, DiscoveryError>),
+    Probe(ProbeResult),
 }
 
 /// Waits for a message that requests the whole list. Never returns if all senders were dropped.
--- a/src/net/discovery/backoff.rs
+++ b/src/net/discovery/backoff.rs
@@ -24,6 +24,8 @@
     /// How long discovery may take to respond in addition to `CallTimes::watch_timeout`; `None` if no call has failed
     /// since the last response.
     timeout_after_failure: Option<Duration>,
+    /// Whether discovery has responded to the last call, though without a list.
+    has_responded: bool,
 }
 
 impl<'a> Backoff<'a> {
@@ -34,6 +36,7 @@
             limits,
             next_pause: limits.discovery_backoff.min,
             timeout_after_failure: None,
+            has_responded: false,
         }
     }
 
@@ -43,22 +46,23 @@
         self.timeout_after_failure = None;
     }
 
-    /// The times of the next call, which is a watch for changes or fetches the whole list.
+    /// The times of the next call: a watch that discovery may usually hold for `watch_timeout`, or, with `None`, a call
+    /// that fetches the whole list.
     ///
     /// After a failure, watches are short. A change takes effect when it is made, even if no call is waiting for it, so
     /// the time spent on a call that gets no response delays its receipt. With each failure discovery gets more time to
     /// respond, since it may have to respond to other poolers first.
-    pub(super) fn call_times(&self, is_watch: bool) -> CallTimes {
+    pub(super) fn call_times(&self, watch_timeout: Option<Duration>) -> CallTimes {
         let limits = self.limits;
-        if !is_watch {
+        let Some(watch_timeout) = watch_timeout else {
             return CallTimes {
                 watch_timeout: Duration::ZERO,
                 timeout: limits.discovery_timeout_after_failure,
             };
-        }
+        };
         let (watch_timeout, answer_timeout) = match self.timeout_after_failure {
-            None => (limits.discovery_watch_timeout, limits.discovery_timeout),
-            Some(timeout) => (limits.discovery_recheck_timeout, timeout),
+            None => (watch_timeout, limits.discovery_timeout),
+            Some(timeout) => (watch_timeout.min(limits.discovery_recheck_timeout), timeout),
         };
         CallTimes { watch_timeout, timeout: watch_timeout + answer_timeout }
     }
@@ -66,6 +70,11 @@
     /// Records that a call failed, and returns the pause before the next one.
     pub(super) fn record_failure(&mut self, error: &DiscoveryError) -> Duration {
         let limits = self.limits;
+        let had_responded = std::mem::replace(&mut self.has_responded, error.kind().is_response());
+        if self.has_responded && !had_responded {
+            // Discovery is back, so the failures until now do not matter.
+            self.next_pause = limits.discovery_backoff.min;
+        }
         let pause = self.next_pause.mul_f64(0.5 + self.rng.f64());
         self.next_pause = (self.next_pause * 2).min(limits.discovery_backoff.max);
         let timeout = self.timeout_after_failure.map_or(limits.discovery_timeout, |timeout| timeout * 2);
--- a/src/net/discovery/call.rs
+++ b/src/net/discovery/call.rs
@@ -1,24 +1,45 @@
 //! A single call to discovery.
 
+use super::DiscoveryClient;
 use super::backoff::CallTimes;
 use super::error::DiscoveryError;
-use crate::config::Limits;
 use crate::endpoint_list_json;
 use crate::engine::endpoints::{EndpointUpdate, ListCoverage};
-use crate::net::http::client::{Response, ServerConnection};
+use crate::net::http::body::BodyDecoder;
+use crate::net::http::client::{BodyProgress, ServerConnection};
 use crate::net::until;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Instant;
 
+/// A response is in progress if this many bytes of its body have arrived within a probe interval. A response that
+/// trickles has fewer.
+const MIN_PROGRESS_BYTES: usize = 4 * 1024;
+
+/// How much of the body of a response has arrived.
+#[derive(Debug, Default)]
+pub(super) struct Transfer {
+    received: Cell<usize>,
+    /// `received` at the last call of [`Transfer::has_progressed`].
+    checked: Cell<usize>,
+}
+
+impl Transfer {
+    /// Whether a long response is on its way: at least [`MIN_PROGRESS_BYTES`] have arrived since the last call.
+    pub(super) fn has_progressed(&self) -> bool {
+        let received = self.received.get();
+        received - self.checked.replace(received) >= MIN_PROGRESS_BYTES
+    }
+}
+
 /// A call that fetches the whole list, or waits for changes since a known list.
 pub(super) struct DiscoveryCall<'a> {
-    pub(super) address: SocketAddr,
+    pub(super) client: DiscoveryClient<'a>,
     /// The index of the known list; `None` to fetch the whole list.
     pub(super) known_index: Option<u64>,
     pub(super) times: CallTimes,
-    /// The names of the zones by number.
-    pub(super) zones: &'a [String],
-    pub(super) limits: &'a Limits,
+    /// Where the progress of the response is recorded.
+    pub(super) transfer: &'a Transfer,
 }
 
 impl DiscoveryCall<'_> {
@@ -32,17 +53,21 @@
         let text =
             until(deadline, self.fetch(kept_connection)).await.unwrap_or(Err(DiscoveryError::TimedOut))?;
         // A malformed list does not replace the known one: the error leads to another call.
-        let update = endpoint_list_json::parse(&text, self.zones)?;
+        let update = endpoint_list_json::parse(&text, self.client.zones)?;
         self.check_index(update)
     }
 
     async fn fetch(&self, kept_connection: &mut Option<ServerConnection>) -> Result<String, DiscoveryError> {
+        let address = self.client.address.get();
         let mut connection = match kept_connection.take() {
             Some(connection) => connection,
-            None => ServerConnection::connect(self.address).await?,
+            None => ServerConnection::connect(address).await?,
         };
-        let Response { head, body, is_reusable } =
-            connection.call(self.request().as_bytes(), self.limits).await?;
+        connection.send(self.request(address).as_bytes()).await?;
+        let head = connection.read_head(self.client.limits).await?;
+        let framing = BodyDecoder::for_response(&head).map_err(std::io::Error::from)?;
+        let is_reusable = head.response_keeps_connection_open() && !framing.is_close_delimited();
+        let body = self.read_body(&mut connection, framing).await?;
         *kept_connection = is_reusable.then_some(connection);
         let status = head.status_text();
         match status {
@@ -52,8 +77,23 @@
         }
     }
 
-    fn request(&self) -> String {
-        let address = self.address;
+    async fn read_body(
+        &self,
+        connection: &mut ServerConnection,
+        mut framing: BodyDecoder,
+    ) -> Result<Vec<u8>, DiscoveryError> {
+        let max_bytes = self.client.limits.discovery_answer_bytes;
+        let mut body = Vec::new();
+        loop {
+            let progress = connection.read_body_part(&mut framing, &mut body, max_bytes).await?;
+            self.transfer.received.set(body.len());
+            if progress == BodyProgress::Complete {
+                return Ok(body);
+            }
+        }
+    }
+
+    fn request(&self, address: SocketAddr) -> String {
         let path = match self.known_index {
             None => "/api/targets".to_string(),
             Some(after) => {
--- a/src/net/discovery/status.rs
+++ b/src/net/discovery/status.rs
@@ -49,6 +49,11 @@
             FailureKind::Unreachable => "unreachable",
         }
     }
+
+    /// Whether discovery has responded, so that it is known to run.
+    pub(super) fn is_response(self) -> bool {
+        matches!(self, FailureKind::Malformed | FailureKind::Overloaded)
+    }
 }
 
 impl DiscoveryError {
