Avoid a replica that rejects work while discovery does not respond

Each refused attempt costs its request a round trip and one of its attempts.

Cause: a rejection (53300) counts as overload only, so the endpoint is ejected for the typical latency of the class, also while the list is not known to be current and the rejection may be the only sign of a drain.

Change: discovery reports that the list is unconfirmed (a call is overdue or has failed) and confirms it with the next response. Meanwhile a rejection ejects a replica for a second, doubling as usual, if another replica of its group is in service; a served attempt and the next list end that. The believed primary is left out, because no other endpoint takes its writes. The decision stands in routing::unconfirmed_list.

Two tests of the router: the rejecting replica is avoided until the list is confirmed, the last replica is not avoided.

--- a/src/daemon/platform/endpoint_lists.rs
+++ b/src/daemon/platform/endpoint_lists.rs
@@ -5,7 +5,7 @@
 use crate::daemon::signals::SignalStream;
 use crate::engine::endpoints::{EndpointCatalog, EndpointUpdate, ListCoverage};
 use crate::engine::{Control, EngineHandle};
-use crate::net::discovery::{self, DiscoveryClient, DiscoveryStatus};
+use crate::net::discovery::{self, DiscoveryClient, DiscoveryNews, DiscoveryStatus};
 use crate::net::latch::Latch;
 use crate::platform_config::PlatformConfig;
 use async_channel::{Receiver, Sender};
@@ -144,10 +144,17 @@
         let engine = engine.clone();
         let limits = limits.clone();
         let task = async move {
-            let deliver = |update: EndpointUpdate| {
+            let deliver = |news: DiscoveryNews| {
                 let lists = &lists;
                 let engine = &engine;
-                async move { lists.deliver(&update, engine).await }
+                async move {
+                    match news {
+                        DiscoveryNews::List(update) => lists.deliver(&update, engine).await,
+                        DiscoveryNews::Unconfirmed => {
+                            engine.send_control(Control::EndpointListUnconfirmed).await;
+                        }
+                    }
+                }
             };
             let client = DiscoveryClient {
                 address: &address,
--- a/src/engine/message.rs
+++ b/src/engine/message.rs
@@ -148,6 +148,8 @@
         /// Whether the list was stored before this process started, and so may be out of date.
         cached: bool,
     },
+    /// The source of the endpoint list does not respond. The next list ends this.
+    EndpointListUnconfirmed,
     /// Requests the current values of the gauges.
     Gauges(Sender<Gauges>),
     /// Requests the observations of endpoints since the last such message.
--- a/src/engine/request_engine.rs
+++ b/src/engine/request_engine.rs
@@ -110,6 +110,10 @@
                 };
                 self.apply_endpoint_list(now, &list, kind, commands);
             }
+            Control::EndpointListUnconfirmed => {
+                let unconfirmed = Event::EndpointList { kind: ListKind::Unconfirmed, entries: Vec::new() };
+                self.dispatch(now, unconfirmed, commands);
+            }
             Control::Gauges(reply) => drop(reply.try_send(self.gauges(now))),
             Control::Observations(reply) => drop(reply.try_send(self.take_observations())),
             Control::OutcomeCounts(reply) => drop(reply.try_send(self.outcome_counts(now))),
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -49,20 +49,35 @@
     pub status: &'a DiscoveryStatus,
 }
 
-/// Watches discovery; never returns. `deliver` receives each whole list and each update that contains changes.
+/// What the watch of discovery reports.
+#[derive(Clone, Debug)]
+pub enum DiscoveryNews {
+    /// A whole list, or changes. Without entries, changes confirm the list after [`DiscoveryNews::Unconfirmed`].
+    List(EndpointUpdate),
+    /// Discovery does not respond, so changes may be missing from the list. The next list ends this.
+    Unconfirmed,
+}
+
+/// Watches discovery; never returns. `deliver` receives what it reports.
 pub async fn watch<F: Future<Output = ()>>(
     client: DiscoveryClient<'_>,
-    deliver: impl Fn(EndpointUpdate) -> F,
+    deliver: impl Fn(DiscoveryNews) -> F,
 ) {
     let mut watcher = Watcher::new(client);
     loop {
         match watcher.next_event(&deliver).await {
             WatchEvent::List(list) => {
-                if list.coverage == ListCoverage::Complete || !list.entries.is_empty() {
-                    deliver(list).await;
+                let confirms = std::mem::take(&mut watcher.is_unconfirmed);
+                if confirms || list.coverage == ListCoverage::Complete || !list.entries.is_empty() {
+                    deliver(DiscoveryNews::List(list)).await;
+                }
+            }
+            WatchEvent::Failed(error) => {
+                watcher.pause_after_failure(&error);
+                if !std::mem::replace(&mut watcher.is_unconfirmed, true) {
+                    deliver(DiscoveryNews::Unconfirmed).await;
                 }
             }
-            WatchEvent::Failed(error) => watcher.pause_after_failure(&error),
             WatchEvent::PauseEnded => {}
             WatchEvent::RefetchRequested => watcher.reset(),
         }
@@ -104,6 +119,8 @@
     probe_index: Option<u64>,
     /// When the next probe is due; `None` while discovery responds.
     next_probe_at: Option<Instant>,
+    /// Whether [`DiscoveryNews::Unconfirmed`] was delivered after the last list.
+    is_unconfirmed: bool,
     /// The pause before the next call.
     pause: Option<Pause>,
     backoff: Backoff<'a>,
@@ -118,6 +135,7 @@
             known_index: None,
             probe_index: client.saved_index,
             next_probe_at: None,
+            is_unconfirmed: false,
             pause: None,
             backoff: Backoff::new(client.limits, client.seed),
             pace: Pace::new(client.limits, client.seed),
@@ -127,7 +145,7 @@
     /// Makes a call, or pauses, until something happens.
     async fn next_event<F: Future<Output = ()>>(
         &mut self,
-        deliver: &impl Fn(EndpointUpdate) -> F,
+        deliver: &impl Fn(DiscoveryNews) -> F,
     ) -> WatchEvent {
         let refetch = self.client.refetch;
         let refetch = async {
@@ -146,7 +164,7 @@
     async fn wait<F: Future<Output = ()>>(
         &mut self,
         pause: Pause,
-        deliver: &impl Fn(EndpointUpdate) -> F,
+        deliver: &impl Fn(DiscoveryNews) -> F,
     ) -> WatchEvent {
         let elapsed = async {
             Timer::at(pause.until).await;
@@ -166,7 +184,7 @@
         }
     }
 
-    async fn call<F: Future<Output = ()>>(&mut self, deliver: &impl Fn(EndpointUpdate) -> F) -> WatchEvent {
+    async fn call<F: Future<Output = ()>>(&mut self, deliver: &impl Fn(DiscoveryNews) -> F) -> WatchEvent {
         let started_at = Instant::now();
         let watch_timeout = self.known_index.map(|_| self.pace.watch_timeout());
         let times = self.backoff.call_times(watch_timeout);
@@ -198,6 +216,7 @@
             baseline,
             index: &mut self.probe_index,
             next_probe_at: &mut self.next_probe_at,
+            is_unconfirmed: &mut self.is_unconfirmed,
             transfer,
         }
     }
--- a/src/net/discovery/prober.rs
+++ b/src/net/discovery/prober.rs
@@ -4,12 +4,12 @@
 //! is a short call on a connection of its own, given up when the next one starts. The unanswered call goes on beside the
 //! probes, because a discovery under load may respond late.
 
-use super::DiscoveryClient;
 use super::backoff::CallTimes;
 use super::call::{DiscoveryCall, Transfer};
 use super::error::DiscoveryError;
 use super::pace::{Pace, TimedResponse};
 use super::status::FailureKind;
+use super::{DiscoveryClient, DiscoveryNews};
 use crate::engine::endpoints::{EndpointUpdate, ListCoverage};
 use crate::net::http::client::ServerConnection;
 use async_io::Timer;
@@ -47,17 +47,19 @@
     pub(super) index: &'w mut Option<u64>,
     /// When the next probe is due; `None` before the first one.
     pub(super) next_probe_at: &'w mut Option<Instant>,
+    /// Whether [`DiscoveryNews::Unconfirmed`] was delivered after the last list.
+    pub(super) is_unconfirmed: &'w mut bool,
     /// The response to the unanswered call, as far as it has been received.
     pub(super) transfer: &'w Transfer,
 }
 
 impl Prober<'_, '_> {
     /// Probes discovery from `overdue_at` on, or from when the next probe is due, until a probe brings a result.
-    /// `deliver` receives the changes since an earlier list.
+    /// `deliver` receives the changes since an earlier list, and that the list is unconfirmed.
     pub(super) async fn run<F: Future<Output = ()>>(
         &mut self,
         overdue_at: Instant,
-        deliver: &impl Fn(EndpointUpdate) -> F,
+        deliver: &impl Fn(DiscoveryNews) -> F,
     ) -> ProbeResult {
         let Some(mut index) = *self.index else { return future::pending().await };
         loop {
@@ -67,6 +69,9 @@
             if self.transfer.has_progressed() {
                 continue;
             }
+            if !std::mem::replace(self.is_unconfirmed, true) {
+                deliver(DiscoveryNews::Unconfirmed).await;
+            }
             let mut connection = None;
             match self.probe(index, interval, &mut connection).await {
                 Ok(list) if self.ends_call(&list) => return ProbeResult::List(list, connection),
@@ -74,7 +79,7 @@
                     index = list.version;
                     *self.index = Some(index);
                     if !list.entries.is_empty() {
-                        deliver(list).await;
+                        deliver(DiscoveryNews::List(list)).await;
                     }
                 }
                 Err(error) if error.kind().is_response() && self.baseline == Baseline::KnownList => {
--- a/src/routing/attempts.rs
+++ b/src/routing/attempts.rs
@@ -8,8 +8,8 @@
 use super::router::{DEFAULT_LATENCY_OBJECTIVE, Router};
 use super::timers::Timer;
 use super::{
-    Action, AttemptFinished, AttemptOutcome, Class, Consistency, EndpointId, Idempotency, IncomingRequest,
-    KeyScope, LogPosition, RequestId, TimeDelta, Timestamp,
+    Action, AttemptFinished, AttemptOutcome, Class, Consistency, Idempotency, IncomingRequest, KeyScope,
+    LogPosition, RequestId, TimeDelta, Timestamp,
 };
 
 /// Maximum number of attempts per request, if the settings define none.
@@ -217,7 +217,7 @@
             AttemptOutcome::Error if failed_before => {}
             AttemptOutcome::Error if !error_limit_reached => endpoint.errors_since_success += 1,
             AttemptOutcome::Error | AttemptOutcome::Overloaded => {
-                self.eject_for_rejected_work(now, finished.endpoint, class);
+                self.eject_for_rejected_work(now, finished, class);
             }
             // One broken connection is weak evidence: if the endpoint is down, the next attempt fails to connect.
             AttemptOutcome::Reset if !error_limit_reached => endpoint.errors_since_success += 1,
@@ -238,11 +238,16 @@
 
     /// Ejects an endpoint that rejected or failed work, for the typical latency of the class: after that it may have
     /// capacity again.
-    fn eject_for_rejected_work(&mut self, now: Timestamp, endpoint: EndpointId, class: Option<usize>) {
+    fn eject_for_rejected_work(&mut self, now: Timestamp, finished: &AttemptFinished, class: Option<usize>) {
+        let endpoint = finished.endpoint;
         let typical_latency_us = class.map(|class| self.class_latency_us[class]);
         self.decrease_concurrency_limit(now, endpoint, typical_latency_us);
-        let base = typical_latency_us.map_or(CONNECTION_FAILURE_EJECTION, TimeDelta::from_micros_f64);
-        self.eject(now, endpoint, base);
+        let usual = typical_latency_us.map_or(CONNECTION_FAILURE_EJECTION, TimeDelta::from_micros_f64);
+        if finished.outcome == AttemptOutcome::Overloaded && self.list_unconfirmed {
+            self.eject_while_unconfirmed(now, endpoint, usual);
+        } else {
+            self.eject(now, endpoint, usual);
+        }
     }
 
     /// Whether another attempt of the request is allowed now.
--- a/src/routing/endpoints.rs
+++ b/src/routing/endpoints.rs
@@ -83,6 +83,8 @@
     pub(super) suspected: bool,
     /// End of its ejection: it gets no attempts before this.
     pub(super) ejected_until: Option<Timestamp>,
+    /// Whether it was ejected because it rejected work while the endpoint list was unconfirmed.
+    pub(super) rejected_while_unconfirmed: bool,
     /// Whether a connection to it failed, or several broke, since its last response.
     pub(super) unreachable: bool,
     /// Ejections since its last success; each doubles the length of the next.
@@ -143,9 +145,16 @@
         actions: &mut Vec<Action>,
     ) {
         match kind {
-            ListKind::Failed => return self.schedule_subscription_retry(now),
-            ListKind::Cached => {}
-            ListKind::Full | ListKind::Delta => self.consecutive_list_failures = 0,
+            ListKind::Failed => {
+                self.list_became_unconfirmed();
+                return self.schedule_subscription_retry(now);
+            }
+            ListKind::Unconfirmed => return self.list_became_unconfirmed(),
+            ListKind::Cached => self.list_became_unconfirmed(),
+            ListKind::Full | ListKind::Delta => {
+                self.consecutive_list_failures = 0;
+                self.list_confirmed();
+            }
         }
         if kind != ListKind::Delta {
             self.remove_unlisted_endpoints(entries);
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -62,6 +62,9 @@
 pub enum ListKind {
     /// Nothing: a call or the subscription failed. The current list stays in use.
     Failed,
+    /// Nothing: the source of the list does not respond, so changes may be missing from the current list, which stays
+    /// in use.
+    Unconfirmed,
     /// The whole list from a cache, possibly out of date.
     Cached,
     /// The whole list from its source.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -27,6 +27,7 @@
 pub mod settings_parser;
 mod slow_start;
 mod timers;
+mod unconfirmed_list;
 mod writes;
 
 pub use action::*;
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -50,6 +50,8 @@
     pub(super) groups_to_dispatch: BTreeSet<GroupId>,
     pub(super) received_first_list: bool,
     pub(super) consecutive_list_failures: u32,
+    /// Whether changes may be missing from the endpoint list, because its source does not respond.
+    pub(super) list_unconfirmed: bool,
 }
 
 /// Numbers of entries in a router's tables.
--- a/tests/discovery_outages.rs
+++ b/tests/discovery_outages.rs
@@ -36,17 +36,19 @@
 struct RecordingEndpoint {
     endpoint: PostgresEndpoint,
     arrivals: Arc<Mutex<Vec<Instant>>>,
+    rejects: Arc<AtomicBool>,
 }
 
 impl RecordingEndpoint {
     fn start() -> RecordingEndpoint {
         let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
-        let recorded = arrivals.clone();
+        let rejects: Arc<AtomicBool> = Arc::default();
+        let (recorded, rejecting) = (arrivals.clone(), rejects.clone());
         let endpoint = PostgresEndpoint::replica(move |_| {
             recorded.lock().unwrap().push(Instant::now());
-            Reply::Row(b"value")
+            if rejecting.load(Ordering::Relaxed) { Reply::Error("53300") } else { Reply::Row(b"value") }
         });
-        RecordingEndpoint { endpoint, arrivals }
+        RecordingEndpoint { endpoint, arrivals, rejects }
     }
 
     fn arrivals_since(&self, since: Instant) -> Vec<Instant> {
@@ -293,6 +295,20 @@
     });
 }
 
+#[test]
+fn an_endpoint_that_rejects_work_during_an_outage_is_avoided() {
+    const OBSERVED: Duration = Duration::from_secs(3);
+    let site = Site::start();
+    site.outage(&[CallFault::Hang], Duration::from_millis(800));
+    let rejecting = &site.endpoints[ENDPOINTS - 1];
+    let rejects_since = Instant::now();
+    rejecting.rejects.store(true, Ordering::Relaxed);
+    thread::sleep(OBSERVED);
+    let rejected = rejecting.arrivals_since(rejects_since).len();
+    // It may be avoided for a second at first; attempts that were on their way when it began to reject come on top.
+    assert!((1..=3 + CLIENTS).contains(&rejected), "{rejected} attempts within {OBSERVED:?}");
+}
+
 #[test]
 fn a_drain_is_in_use_in_time_after_an_outage_under_a_crowd_of_idle_clients() {
     check_all(&[1_500, 4_000], |length_ms| {
--- a/tests/router/endpoint_list.rs
+++ b/tests/router/endpoint_list.rs
@@ -129,3 +129,46 @@
     let TableSizes { requests, sessions, .. } = harness.router.table_sizes();
     assert!(requests == 0 && sessions <= 50_000, "{requests} requests, {sessions} sessions");
 }
+
+/// How often endpoint 3, which rejects everything, gets a read within a second.
+fn reads_sent_to_rejecting(harness: &mut RouterHarness) -> usize {
+    let mut sent_to_rejecting = 0;
+    for _ in 0..100 {
+        let (id, sent) = harness.request(EVENTUAL_READ, 2_000 * MS, None);
+        let to = sent_to(&sent, id)[0];
+        let is_rejected = to == endpoint(3);
+        sent_to_rejecting += usize::from(is_rejected);
+        let outcome = if is_rejected { AttemptOutcome::Overloaded } else { AttemptOutcome::Served };
+        harness.finish_attempt(id, 0, to.ip[3], outcome, Some(Role::primary_if(to == endpoint(1))), FRESH);
+        harness.advance(10 * MS);
+    }
+    sent_to_rejecting
+}
+
+#[test]
+fn an_endpoint_that_rejects_work_while_the_list_is_unconfirmed_is_avoided() {
+    let mut harness = RouterHarness::new(settings(), 3);
+    for n in 1..=3 {
+        harness.report_state(n, Role::primary_if(n == 1), FRESH);
+    }
+    harness.update_list(ListKind::Unconfirmed, Vec::new());
+    assert_eq!(reads_sent_to_rejecting(&mut harness), 1, "the first one shows that it rejects work");
+    harness.update_list(ListKind::Delta, Vec::new());
+    assert!(reads_sent_to_rejecting(&mut harness) > 1, "the list confirms that it is in service");
+}
+
+#[test]
+fn the_last_replica_is_not_avoided_because_it_rejects_a_read() {
+    let mut harness = RouterHarness::new(settings(), 2);
+    for n in 1..=2 {
+        harness.report_state(n, Role::primary_if(n == 1), FRESH);
+    }
+    harness.update_list(ListKind::Unconfirmed, Vec::new());
+    let (id, sent) = harness.request(EVENTUAL_READ, 2_000 * MS, None);
+    assert_eq!(sent_to(&sent, id), [endpoint(2)]);
+    harness.finish_attempt(id, 0, 2, AttemptOutcome::Overloaded, Some(Role::Replica), FRESH);
+    harness.finish_attempt(id, 1, 1, AttemptOutcome::Served, Some(Role::Primary), FRESH);
+    harness.advance(600 * MS);
+    let (id, sent) = harness.request(EVENTUAL_READ, 2_000 * MS, None);
+    assert_eq!(sent_to(&sent, id), [endpoint(2)], "it was ejected for the typical latency only");
+}
