Connect to a peer again soon after a cut, also if attempts during it were lost

What callers would see: after a cut between nodes, a drain that the others have committed, or that this node has accepted, took up to 1.35 s after the links were back; new work went to the drained endpoint until then. Found as a related path of the incident; not seen in service.

PeerLink::run makes one attempt at a time; an attempt that the network has lost kept the next one from being made for up to 1 s, and a pause of up to 0.5 s followed.

Change: while an attempt is unanswered, others are made beside it every 75 to 150 ms, one at a time, and the pause after an attempt that failed is at most that long. An attempt that a peer rejects is followed by a longer pause, as before. The limits of peers are their own now and no longer those of discovery.

--- a/src/config.rs
+++ b/src/config.rs
@@ -152,7 +152,7 @@
     pub discovery_timeout_after_failure: Duration,
     /// Calls that discovery rejected for lack of capacity are repeated after a random delay up to this.
     pub discovery_spread: Duration,
-    /// Backoff after a failed call to discovery, and after a failed connection to a fleet peer.
+    /// Backoff after a failed call to discovery.
     pub discovery_backoff: BackoffLimits,
     /// A process that starts with a cached list uses it if discovery sends none for this long.
     pub cached_list_delay: Duration,
@@ -192,6 +192,15 @@
     pub proposal_retry_interval: Duration,
     /// Minimum interval between writes of gossiped observations to disk.
     pub gossip_save_interval: Duration,
+    /// How long connecting to a peer may take.
+    pub peer_connect_timeout: Duration,
+    /// While a connection to a peer is not established, another attempt is made this often.
+    pub peer_connect_interval: Duration,
+    /// Pauses after failed attempts to connect to a peer. The longest one follows an attempt that the peer rejected; the
+    /// others are at most `peer_connect_interval`.
+    pub peer_backoff: BackoffLimits,
+    /// While a peer lacks pending drains of this node, they are sent again this often.
+    pub pending_drains_interval: Duration,
     /// A peer that is silent for this long counts as gone; a node of the same name may then replace it.
     pub peer_gone_timeout: Duration,
     /// Size of the replicated log in bytes above which its older half is compacted.
--- a/src/config/defaults.rs
+++ b/src/config/defaults.rs
@@ -92,6 +92,11 @@
     agreement_timeout: Duration::from_secs(2),
     proposal_retry_interval: Duration::from_millis(250),
     gossip_save_interval: Duration::from_secs(5),
+    peer_connect_timeout: Duration::from_secs(1),
+    // A drain of a peer must be in use 0.3 s after the links to it are back.
+    peer_connect_interval: Duration::from_millis(150),
+    peer_backoff: BackoffLimits { min: Duration::from_millis(50), max: Duration::from_secs(1) },
+    pending_drains_interval: Duration::from_millis(100),
     peer_gone_timeout: Duration::from_secs(2),
     // Large enough that a peer that missed ten thousand changes of one endpoint each catches up from the log without a
     // snapshot.
--- a/src/fleet/peer_link.rs
+++ b/src/fleet/peer_link.rs
@@ -12,6 +12,7 @@
 use crate::net::http::client::ServerConnection;
 use crate::net::until;
 use async_channel::{Receiver, Sender};
+use async_io::Timer;
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::io;
@@ -210,11 +211,10 @@
 
     /// Connects, sends queued messages and reconnects, until the link is closed.
     pub async fn run(&self, limits: &Limits, events: &impl PeerLinkEvents) {
-        let BackoffLimits { min: shortest_backoff, max: longest_backoff } = limits.discovery_backoff;
+        let BackoffLimits { min: shortest_backoff, max: longest_backoff } = limits.peer_backoff;
         let mut backoff = shortest_backoff;
         while !self.closed.sender.is_closed() {
-            let connecting = self.connect(limits, events);
-            match until(Instant::now() + limits.discovery_timeout, connecting).await {
+            match self.connect_within_timeout(limits, events).await {
                 Some(Ok(Connected { client, reply })) => {
                     let is_excluded = matches!(
                         reply.verdict,
@@ -233,15 +233,37 @@
                 Some(Err(error)) => log::debug!("fleet: connecting to {} failed: {error}", self.address),
                 None => log::debug!("fleet: connecting to {} timed out", self.address),
             }
-            // Up to half of the backoff is jitter, so that nodes that start together do not reconnect in lockstep.
-            let pause = backoff.mul_f64(0.5 + fastrand::f64() / 2.0);
             let ended_early =
                 futures_lite::future::or(self.closed.receiver.recv(), self.retry_requested.receiver.recv());
-            let _ = until(Instant::now() + pause, ended_early).await;
-            backoff = (backoff * 2).min(longest_backoff / 2).max(shortest_backoff);
+            let _ = until(Instant::now() + with_jitter(backoff), ended_early).await;
+            backoff = (backoff * 2).min(limits.peer_connect_interval).max(shortest_backoff);
         }
     }
 
+    /// Connects; `None` if that takes too long.
+    ///
+    /// A network that was cut loses the first attempt for good, so while it is unanswered others are made beside it, one
+    /// at a time. It goes on, because a slow network may take longer than these others are given.
+    async fn connect_within_timeout(
+        &self,
+        limits: &Limits,
+        events: &impl PeerLinkEvents,
+    ) -> Option<Result<Connected, ConnectError>> {
+        let first_attempt = self.connect(limits, events);
+        let further_attempts = async {
+            let mut next_at = Instant::now() + limits.peer_connect_interval;
+            loop {
+                Timer::at(next_at).await;
+                next_at = Instant::now() + with_jitter(limits.peer_connect_interval);
+                if let Some(Ok(connected)) = until(next_at, self.connect(limits, events)).await {
+                    return Ok(connected);
+                }
+            }
+        };
+        let connecting = futures_lite::future::or(first_attempt, further_attempts);
+        until(Instant::now() + limits.peer_connect_timeout, connecting).await
+    }
+
     /// Opens a connection, upgrades it and exchanges handshakes.
     async fn connect(
         &self,
@@ -335,6 +357,11 @@
     }
 }
 
+/// Shortens an interval by up to half, so that nodes that start together do not connect in lockstep.
+fn with_jitter(interval: Duration) -> Duration {
+    interval.mul_f64(0.5 + fastrand::f64() / 2.0)
+}
+
 /// Sleeps for `duration`. Returns early, with true, if `wake` receives a message or its channel is closed.
 pub async fn sleep_or_wake(duration: Duration, wake: &Receiver<()>) -> bool {
     until(Instant::now() + duration, wake.recv()).await.is_some()
