Send pending drains again in short intervals to peers that lack them

What callers would see: after a cut in which the connections between nodes stay open, the other nodes get a drain that this node has accepted up to half a second late, and send new work to the endpoint until then. Found as a related path of the incident; not seen in service.

Cause: pending drains are sent once, and again only when a heartbeat of the peer shows that it lacks them; heartbeats come every 0.5 s.

Change: while a connected peer's last heartbeat shows other pending drains, they are sent to it again every 0.1 s. Beyond 64 pending drains only the heartbeats do, as before, so that thousands of them are not sent ten times a second.

--- a/src/fleet/pending_drains.rs
+++ b/src/fleet/pending_drains.rs
@@ -115,6 +115,11 @@
         self.proposed_at.keys().cloned().collect()
     }
 
+    /// Number of pending drains.
+    pub fn len(&self) -> usize {
+        self.proposed_at.len()
+    }
+
     /// Whether there are no pending drains.
     pub fn is_empty(&self) -> bool {
         self.proposed_at.is_empty()
--- a/src/fleet/runtime/drains.rs
+++ b/src/fleet/runtime/drains.rs
@@ -15,6 +15,9 @@
 use std::collections::BTreeSet;
 use std::time::Instant;
 
+/// Up to this many pending drains are sent again in short intervals. Operators drain a few endpoints at a time.
+const MAX_REPEATED_DRAINS: usize = 64;
+
 /// The drains that are not committed yet, and the version of them that is on disk.
 pub struct DrainState {
     pending: PendingDrains,
@@ -233,6 +236,25 @@
         }
     }
 
+    /// Sends the pending drains again to each connected peer that lacks some, by its last heartbeat: a message may be lost
+    /// while a link is cut. If there are many, the peers get them with their heartbeats only.
+    pub(super) fn repeat_pending_drains(&self) {
+        let drains = self.drains();
+        let pending = drains.pending();
+        if pending.is_empty() || pending.len() > MAX_REPEATED_DRAINS {
+            return;
+        }
+        let digest = pending.digest();
+        let message = PeerMessage::PendingDrains(pending.all()).encode();
+        let peers = self.peers();
+        for link in peers.links().filter(|link| link.is_up()) {
+            let status = peers.status(link.peer_id());
+            if status.is_none_or(|status| status.heartbeat.pending_drains_digest != digest) {
+                link.send(&message);
+            }
+        }
+    }
+
     /// Sends all pending drains to all connected peers.
     fn broadcast_pending_drains(&self) {
         let drains = self.drains().pending.all();
--- a/src/fleet/runtime/event_loop.rs
+++ b/src/fleet/runtime/event_loop.rs
@@ -23,6 +23,7 @@
     /// Runs the event loop. Never returns.
     pub async fn run(self: &Rc<Fleet>) {
         let mut next_heartbeat = Instant::now();
+        let mut next_drains_repeat = Instant::now();
         let mut next_gossip_save = Instant::now() + self.limits.gossip_save_interval;
         let changed = self.changes.subscribe();
         loop {
@@ -35,6 +36,10 @@
                 next_heartbeat = Instant::now() + self.limits.heartbeat_interval;
                 self.run_heartbeat_tasks();
             }
+            if Instant::now() >= next_drains_repeat {
+                next_drains_repeat = Instant::now() + self.limits.pending_drains_interval;
+                self.repeat_pending_drains();
+            }
             if sleep_or_wake(self.time_to_next_round(), &changed).await {
                 Timer::after(CHANGE_BATCH_DELAY).await;
             }
@@ -80,8 +85,10 @@
             // An election by this node may become due at any tick.
             return self.limits.raft_tick;
         }
-        let has_pending_work = !self.drains().pending().is_empty()
-            || !self.requests.borrow().is_empty()
+        if !self.drains().pending().is_empty() {
+            return self.limits.pending_drains_interval;
+        }
+        let has_pending_work = !self.requests.borrow().is_empty()
             || !self.peers().candidates().is_empty()
             || !agreed.state().is_complete()
             || !agreed.has_fleet()
--- a/tests/fleet_cuts.rs
+++ b/tests/fleet_cuts.rs
@@ -12,6 +12,8 @@
 /// What a cut does to the connections between the nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Cut {
+    /// They stay open and silent.
+    Silent,
     /// They are reset, and new ones stay silent.
     Reset,
 }
@@ -54,6 +56,11 @@
     assert!(!late, "{cut:?}: {applied:?}");
 }
 
+#[test]
+fn drains_cross_a_silent_cut_in_time() {
+    check(Cut::Silent);
+}
+
 #[test]
 fn drains_cross_a_cut_with_resets_in_time() {
     check(Cut::Reset);
