--- a/src/config.rs
+++ b/src/config.rs
@@ -152,6 +152,8 @@
     pub discovery_timeout_after_failure: Duration,
     /// Calls that discovery rejected for lack of capacity are repeated after a random delay up to this.
     pub discovery_spread: Duration,
+    /// The longest pause after a rejected call where `discovery_spread` is shorter.
+    pub discovery_overload_pause: Duration,
     /// Backoff after a failed call to discovery.
     pub discovery_backoff: BackoffLimits,
     /// A process that starts with a cached list uses it if discovery sends none for this long.
--- a/src/config/defaults.rs
+++ b/src/config/defaults.rs
@@ -72,6 +72,7 @@
     // Together with the longest backoff and another timeout, this stays within the 6 s.
     discovery_timeout_after_failure: Duration::from_millis(2_500),
     discovery_spread: DISCOVERY_CALL_COST,
+    discovery_overload_pause: Duration::from_millis(250),
     discovery_backoff: BackoffLimits { min: Duration::from_millis(50), max: Duration::from_secs(1) },
     cached_list_delay: Duration::from_millis(100),
     readiness_timeout: Duration::from_millis(500),
--- a/src/net/discovery/backoff.rs
+++ b/src/net/discovery/backoff.rs
@@ -82,7 +82,10 @@
         match error {
             // Waiting calls are what keeps discovery overloaded. All poolers of a tier together must call less often
             // than discovery can respond.
-            DiscoveryError::Overloaded { .. } => pause.max(limits.discovery_spread.mul_f64(self.rng.f64())),
+            DiscoveryError::Overloaded { .. } => {
+                let spread = limits.discovery_spread.mul_f64(self.rng.f64());
+                pause.min(limits.discovery_overload_pause).max(spread)
+            }
             _ => pause,
         }
     }
