Make a lost call for the whole list again, and probe after malformed answers

What callers would see: new work at a draining endpoint up to 0.35 s after the return of discovery, where SIGHUP has moved the pooler to a discovery with an index of its own and its calls fail; up to 1.5 s where discovery has sent malformed answers.

While the whole list is missing, probes ask for the changes since the earlier list; if these do not show the drain, the call for the whole list was awaited, or the pause before it. After a malformed answer there were no probes.

Change: a response to a probe shows that discovery is back: a pause before the whole list ends, and a call for it that has been silent for 0.15 s is made again, the next time after twice that time. After a malformed answer discovery is probed, but no whole list is fetched before the pause is over.

The site of the tests moved to tests/stand_in/site.rs.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -29,6 +29,10 @@
 
 pub use status::{DiscoveryStatus, FailureKind};
 
+/// The first value of [`Watcher::whole_list_patience`]. Together with a probe, it must fit into the 0.3 s within which a
+/// drain is in use after discovery is back.
+const SHORTEST_WHOLE_LIST_PATIENCE: Duration = Duration::from_millis(150);
+
 /// What the watch of discovery needs.
 #[derive(Clone, Copy)]
 pub struct DiscoveryClient<'a> {
@@ -78,7 +82,7 @@
                     deliver(DiscoveryNews::Unconfirmed).await;
                 }
             }
-            WatchEvent::PauseEnded => {}
+            WatchEvent::CallDue => {}
             WatchEvent::RefetchRequested => watcher.reset(),
         }
     }
@@ -88,7 +92,8 @@
 enum WatchEvent {
     List(EndpointUpdate),
     Failed(DiscoveryError),
-    PauseEnded,
+    /// The next call is due.
+    CallDue,
     /// The whole list was requested.
     RefetchRequested,
 }
@@ -98,14 +103,17 @@
 struct Pause {
     until: Instant,
     during: DuringPause,
+    /// From then on a response to a probe ends the pause, if the whole list is to be fetched. Later than the present if
+    /// discovery has sent a malformed one.
+    whole_list_from: Instant,
 }
 
 /// What happens during a pause.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum DuringPause {
-    /// Nothing, because discovery has responded.
+    /// Nothing, because discovery is not to be called.
     Nothing,
-    /// Probes, because discovery has not responded.
+    /// Probes, because discovery may respond at any time.
     Probes,
 }
 
@@ -119,6 +127,9 @@
     probe_index: Option<u64>,
     /// When the next probe is due; `None` while discovery responds.
     next_probe_at: Option<Instant>,
+    /// A call for the whole list that is unanswered for this long, while probes are answered, is made again. Doubles
+    /// each time, since discovery may take long to send the whole list.
+    whole_list_patience: Duration,
     /// Whether [`DiscoveryNews::Unconfirmed`] was delivered after the last list.
     is_unconfirmed: bool,
     /// The pause before the next call.
@@ -135,6 +146,7 @@
             known_index: None,
             probe_index: client.saved_index,
             next_probe_at: None,
+            whole_list_patience: SHORTEST_WHOLE_LIST_PATIENCE,
             is_unconfirmed: false,
             pause: None,
             backoff: Backoff::new(client.limits, client.seed),
@@ -172,15 +184,15 @@
         };
         if pause.during == DuringPause::Nothing {
             elapsed.await;
-            return WatchEvent::PauseEnded;
+            return WatchEvent::CallDue;
         }
         let transfer = Transfer::default();
         let overdue_at = Instant::now() + self.pace.probe_interval();
-        let mut prober = self.prober(&transfer);
+        let mut prober = self.prober(&transfer, pause.whole_list_from);
         let probes = async { Some(prober.run(overdue_at, deliver).await) };
         match future::or(elapsed, probes).await {
             Some(result) => self.probed(result),
-            None => WatchEvent::PauseEnded,
+            None => WatchEvent::CallDue,
         }
     }
 
@@ -195,7 +207,7 @@
         let overdue_at = started_at + times.watch_timeout + self.pace.overdue_after();
         // While discovery is probed, this call takes the place of a probe.
         self.next_probe_at = self.next_probe_at.map(|_| started_at + self.pace.probe_interval());
-        let mut prober = self.prober(&transfer);
+        let mut prober = self.prober(&transfer, started_at + self.whole_list_patience);
         let response = async { CallEnd::Response(call.run(&mut connection).await) };
         let probes = async { CallEnd::Probe(prober.run(overdue_at, deliver).await) };
         match future::or(response, probes).await {
@@ -204,16 +216,22 @@
                 self.received(list, started_at, times.watch_timeout)
             }
             CallEnd::Response(Err(error)) => WatchEvent::Failed(error),
-            CallEnd::Probe(result) => self.probed(result),
+            CallEnd::Probe(result) => {
+                if matches!(result, ProbeResult::WholeListMissing) {
+                    self.whole_list_patience *= 2;
+                }
+                self.probed(result)
+            }
         }
     }
 
-    fn prober<'w>(&'w mut self, transfer: &'w Transfer) -> Prober<'w, 'a> {
+    fn prober<'w>(&'w mut self, transfer: &'w Transfer, whole_list_lost_from: Instant) -> Prober<'w, 'a> {
         let baseline = if self.known_index.is_some() { Baseline::KnownList } else { Baseline::EarlierList };
         Prober {
             client: self.client,
             pace: &mut self.pace,
             baseline,
+            whole_list_lost_from,
             index: &mut self.probe_index,
             next_probe_at: &mut self.next_probe_at,
             is_unconfirmed: &mut self.is_unconfirmed,
@@ -231,7 +249,8 @@
         let shortest_interval = self.client.limits.discovery_backoff.min;
         if is_unchanged && took < shortest_interval {
             // Discovery does not hold calls, and must not be called in a tight loop.
-            self.pause = Some(Pause { until: now + shortest_interval, during: DuringPause::Nothing });
+            let until = now + shortest_interval;
+            self.pause = Some(Pause { until, during: DuringPause::Nothing, whole_list_from: until });
         }
         self.record_list(&list);
         WatchEvent::List(list)
@@ -245,6 +264,7 @@
                 WatchEvent::List(list)
             }
             ProbeResult::Failed(error) => WatchEvent::Failed(error),
+            ProbeResult::WholeListMissing => WatchEvent::CallDue,
         }
     }
 
@@ -252,6 +272,7 @@
         self.known_index = Some(list.version);
         self.probe_index = Some(list.version);
         self.next_probe_at = None;
+        self.whole_list_patience = SHORTEST_WHOLE_LIST_PATIENCE;
         self.backoff.reset();
     }
 
@@ -264,14 +285,15 @@
         if matches!(error, DiscoveryError::IndexWentBack { .. }) {
             self.known_index = None;
         }
+        let mut during = DuringPause::Probes;
         if kind == FailureKind::Overloaded {
             self.pace.record_overload();
-        }
-        let during = if kind.is_response() { DuringPause::Nothing } else { DuringPause::Probes };
-        if during == DuringPause::Nothing {
             self.next_probe_at = None;
+            during = DuringPause::Nothing;
         }
-        self.pause = Some(Pause { until: now + self.backoff.record_failure(error), during });
+        let until = now + self.backoff.record_failure(error);
+        let whole_list_from = if kind == FailureKind::Malformed { until } else { now };
+        self.pause = Some(Pause { until, during, whole_list_from });
     }
 
     /// Forgets the connection, the index and the failures, because the address may have changed. The connection of an
@@ -280,6 +302,7 @@
         self.connection = None;
         self.known_index = None;
         self.next_probe_at = None;
+        self.whole_list_patience = SHORTEST_WHOLE_LIST_PATIENCE;
         self.pause = None;
         self.backoff.reset();
         self.pace.reset();
--- a/src/net/discovery/prober.rs
+++ b/src/net/discovery/prober.rs
@@ -24,8 +24,10 @@
 pub(super) enum ProbeResult {
     /// The changes since the known list, or a whole list, with the connection if it can be reused.
     List(EndpointUpdate, Option<ServerConnection>),
-    /// Discovery has responded without a list.
+    /// Discovery has no capacity, or another list than the known one.
     Failed(DiscoveryError),
+    /// Discovery responds, but not to the call for the whole list.
+    WholeListMissing,
 }
 
 /// What the changes in a response to a probe refer to.
@@ -43,6 +45,8 @@
     pub(super) client: DiscoveryClient<'a>,
     pub(super) pace: &'w mut Pace<'a>,
     pub(super) baseline: Baseline,
+    /// From then on a response to a probe shows that a call for the whole list has been lost.
+    pub(super) whole_list_lost_from: Instant,
     /// The index that probes name; `None` if there was no list yet, so that there is nothing to keep current.
     pub(super) index: &'w mut Option<u64>,
     /// When the next probe is due; `None` before the first one.
@@ -82,11 +86,19 @@
                         deliver(DiscoveryNews::List(list)).await;
                     }
                 }
-                Err(error) if error.kind().is_response() && self.baseline == Baseline::KnownList => {
+                Err(error) if self.baseline == Baseline::KnownList && ends_probes(&error) => {
                     return ProbeResult::Failed(error);
                 }
                 Err(error) if error.kind() == FailureKind::Overloaded => return future::pending().await,
-                Err(error) => self.client.status.record_failure(Instant::now(), &error),
+                // The index is that of another list, which does not matter for the whole list.
+                Err(DiscoveryError::IndexWentBack { .. }) => {}
+                Err(error) => {
+                    self.client.status.record_failure(Instant::now(), &error);
+                    continue;
+                }
+            }
+            if Instant::now() >= self.whole_list_lost_from {
+                return ProbeResult::WholeListMissing;
             }
         }
     }
@@ -118,3 +130,8 @@
         Ok(list)
     }
 }
+
+/// Whether further probes are no use, or do harm: discovery has another list, or no capacity.
+fn ends_probes(error: &DiscoveryError) -> bool {
+    matches!(error, DiscoveryError::IndexWentBack { .. }) || error.kind() == FailureKind::Overloaded
+}
--- a/tests/stand_in/failing_discovery.rs
+++ b/tests/stand_in/failing_discovery.rs
@@ -25,6 +25,8 @@
     Reset,
     /// No connection is accepted; the connections of open calls are reset.
     Refuse,
+    /// It is answered with a body that is not a list.
+    Malformed,
     /// It is answered when the server recovers.
     AnswerAtRecovery,
 }
@@ -276,6 +278,7 @@
             set_socket_linger(stream, Some(Duration::ZERO)).unwrap();
             None
         }
+        CallFault::Malformed => stream.write_all(ok_response("{\"index\":").as_bytes()).ok(),
         CallFault::Hang | CallFault::AnswerAtRecovery => {
             while stream.read(&mut [0; 64]).ok()? > 0 {}
             None
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -14,4 +14,5 @@
 pub mod platform;
 pub mod postgres;
 pub mod process;
+pub mod site;
 pub mod waiting;
