Bound the wait for the whole list also after malformed answers and in pauses

What callers would see: new work at a draining endpoint 0.53 s after the return of discovery, where SIGHUP had moved the pooler to a discovery that sent malformed answers.

Cause: after a malformed whole list the pause was waited for, although probes showed that discovery was back.

Change: one bound for the open call and for the pause: the whole list is called for when a probe is answered and the last call for it brought none for 0.15 s, the next time twice that, 2.5 s at most; after a call without a response at once. So a discovery that never sends a usable whole list is not called for it at the pace of probes.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -103,8 +103,7 @@
 struct Pause {
     until: Instant,
     during: DuringPause,
-    /// From then on a response to a probe ends the pause, if the whole list is to be fetched. Later than the present if
-    /// discovery has sent a malformed one.
+    /// From then on a response to a probe ends the pause, if the whole list is to be fetched.
     whole_list_from: Instant,
 }
 
@@ -127,8 +126,8 @@
     probe_index: Option<u64>,
     /// When the next probe is due; `None` while discovery responds.
     next_probe_at: Option<Instant>,
-    /// A call for the whole list that is unanswered for this long, while probes are answered, is made again. Doubles
-    /// each time, since discovery may take long to send the whole list.
+    /// A call for the whole list that brings none for this long, while probes are answered, is made again. Doubles each
+    /// time, since discovery may take long to send the whole list.
     whole_list_patience: Duration,
     /// Whether [`DiscoveryNews::Unconfirmed`] was delivered after the last list.
     is_unconfirmed: bool,
@@ -216,12 +215,7 @@
                 self.received(list, started_at, times.watch_timeout)
             }
             CallEnd::Response(Err(error)) => WatchEvent::Failed(error),
-            CallEnd::Probe(result) => {
-                if matches!(result, ProbeResult::WholeListMissing) {
-                    self.whole_list_patience *= 2;
-                }
-                self.probed(result)
-            }
+            CallEnd::Probe(result) => self.probed(result),
         }
     }
 
@@ -264,7 +258,11 @@
                 WatchEvent::List(list)
             }
             ProbeResult::Failed(error) => WatchEvent::Failed(error),
-            ProbeResult::WholeListMissing => WatchEvent::CallDue,
+            ProbeResult::WholeListMissing => {
+                let longest = self.client.limits.discovery_timeout_after_failure;
+                self.whole_list_patience = (self.whole_list_patience * 2).min(longest);
+                WatchEvent::CallDue
+            }
         }
     }
 
@@ -292,7 +290,11 @@
             during = DuringPause::Nothing;
         }
         let until = now + self.backoff.record_failure(error);
-        let whole_list_from = if kind == FailureKind::Malformed { until } else { now };
+        // Discovery may go on failing to send the whole list while it answers probes.
+        let mut whole_list_from = now + self.whole_list_patience;
+        if kind != FailureKind::Malformed {
+            whole_list_from -= SHORTEST_WHOLE_LIST_PATIENCE;
+        }
         self.pause = Some(Pause { until, during, whole_list_from });
     }
 
