Log the endpoints that a list puts into service, into a drain or removes

What was missing in the incident: the pooler's log did not say when it learned of a drain, so only discovery's own record showed that nothing had been written to it.

Change: EndpointCatalog::apply returns what an update has changed, and a line names it with the list's index, eight names of each kind at most. The catalog has a file of its own.

--- a/src/daemon/operator/agreed_settings.rs
+++ b/src/daemon/operator/agreed_settings.rs
@@ -96,8 +96,9 @@
 }
 
 /// Waits until this daemon has applied everything that the fleet has agreed on, and has the pending drains of the members
-/// that it reaches, so that no request is sent to an endpoint that was drained while this daemon was down. Returns after twice `Limits::discovery_timeout` at the latest,
-/// the time by which an endpoint list may be late, so that a daemon without a majority serves too.
+/// that it reaches, so that no request is sent to an endpoint that was drained while this daemon was down. Returns after
+/// twice `Limits::discovery_timeout` at the latest, the time by which an endpoint list may be late, so that a daemon
+/// without a majority serves too.
 pub async fn wait_until_current(fleet: &Fleet, limits: &Limits) {
     let changed = fleet.subscribe();
     let current = async {
--- a/src/daemon/platform/endpoint_lists.rs
+++ b/src/daemon/platform/endpoint_lists.rs
@@ -67,7 +67,10 @@
 
     /// Applies an update from discovery and sends the resulting list to the engine.
     async fn deliver<W, A>(&self, update: &EndpointUpdate, engine: &EngineHandle<W, A>) {
-        self.catalog.borrow_mut().apply(update);
+        let changes = self.catalog.borrow_mut().apply(update);
+        if !changes.is_empty() {
+            log::info!("discovery: list {}: {changes}", update.version);
+        }
         let list = self.catalog.borrow().whole_list();
         engine.send_control(Control::EndpointList { list, cached: false }).await;
         self.first_list_sent.set();
--- a/src/engine/endpoints.rs
+++ b/src/engine/endpoints.rs
@@ -3,6 +3,10 @@
 //! An endpoint has the same name at every pooler, but its address may differ. The id is therefore derived from the
 //! name, so that the router's hash ring of sorted ids is the same at all poolers and after every restart.
 
+mod catalog;
+
+pub use catalog::{CatalogChanges, EndpointCatalog};
+
 use crate::routing::{Availability, EndpointEntry, EndpointId, GroupId, Timestamp, ZoneId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -48,37 +52,6 @@
     pub entries: Vec<EndpointRecord>,
 }
 
-/// The current endpoint list on the platform, assembled from the whole lists and the changes that discovery reports.
-#[derive(Clone, Debug, Default)]
-pub struct EndpointCatalog {
-    endpoints: BTreeMap<String, EndpointRecord>,
-    version: u64,
-}
-
-impl EndpointCatalog {
-    /// Applies an update from discovery.
-    pub fn apply(&mut self, update: &EndpointUpdate) {
-        let replaced =
-            (update.coverage == ListCoverage::Complete).then(|| std::mem::take(&mut self.endpoints));
-        for record in &update.entries {
-            if record.availability == Availability::Gone {
-                self.endpoints.remove(&record.name);
-            } else {
-                self.endpoints.insert(record.name.clone(), record.clone());
-            }
-        }
-        if replaced.is_none_or(|replaced| replaced != self.endpoints) {
-            self.version += 1;
-        }
-    }
-
-    /// The current list as an update. Its version is local and increases with every change.
-    pub fn whole_list(&self) -> EndpointUpdate {
-        let entries = self.endpoints.values().cloned().collect();
-        EndpointUpdate { version: self.version, coverage: ListCoverage::Complete, entries }
-    }
-}
-
 /// The current state of an endpoint, as the backend pool needs it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EndpointState {
--- a/src/engine/endpoints/tests.rs
+++ b/src/engine/endpoints/tests.rs
@@ -25,6 +25,28 @@
     assert_eq!(catalog.whole_list().entries, [record("z", Availability::Ready)]);
 }
 
+/// Guards against a log from which the drains and removals of endpoints cannot be told.
+#[test]
+fn the_catalog_names_the_endpoints_that_an_update_has_changed() {
+    let mut catalog = EndpointCatalog::default();
+    let update = |coverage, entries| EndpointUpdate { version: 1, coverage, entries };
+    let all = (0..10).map(|number| record(&format!("s-{number}"), Availability::Ready)).collect();
+    let changes = catalog.apply(&update(ListCoverage::Complete, all));
+    assert_eq!(changes.to_string(), "ready s-0, s-1, s-2, s-3, s-4, s-5, s-6, s-7 and 2 more");
+    let changed = vec![
+        record("s-1", Availability::Draining),
+        record("s-2", Availability::Gone),
+        record("s-3", Availability::Ready),
+        record("unknown", Availability::Gone),
+    ];
+    let changes = catalog.apply(&update(ListCoverage::Changes, changed));
+    assert_eq!(changes.to_string(), "draining s-1; removed s-2");
+    let left = vec![record("s-1", Availability::Ready)];
+    let changes = catalog.apply(&update(ListCoverage::Complete, left));
+    assert_eq!(changes.to_string(), "ready s-1; removed s-0, s-3, s-4, s-5, s-6, s-7, s-8, s-9");
+    assert!(catalog.apply(&update(ListCoverage::Changes, Vec::new())).is_empty());
+}
+
 /// Hash rings must be the same at all poolers, whatever the addresses of endpoints and the order in which they arrive.
 #[test]
 fn an_id_depends_on_the_name_alone() {
--- a/src/fleet/peer_link.rs
+++ b/src/fleet/peer_link.rs
@@ -302,6 +302,8 @@
     ) -> DisconnectReason {
         while self.queue_receiver.try_recv().is_ok() {}
         while self.reconnect_requested.receiver.try_recv().is_ok() {}
+        // One that came while the connection was being established would cut the next backoff short.
+        while self.retry_requested.receiver.try_recv().is_ok() {}
         self.queued_bytes.set(0);
         self.is_up.set(true);
         events.on_connected(self);
