--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -57,6 +57,28 @@
     }
 }
 
+/// Guards against a tier whose watches and probes overload the one discovery that its poolers share, and against a lone
+/// pooler that notices an outage late because of that.
+#[test]
+fn a_shared_discovery_is_called_at_a_bounded_rate() {
+    const CALLS_PER_SECOND: f64 = 200.0;
+    let own = Limits::for_sockets(64);
+    for poolers in [1, 2, 20, 21, 100, 399, 400] {
+        let mut limits = Limits::for_sockets(64);
+        limits.share_discovery(Some(poolers));
+        let interval = limits.discovery_probe_interval;
+        assert_eq!(limits.discovery_short_watch_timeout, interval);
+        assert!(
+            f64::from(poolers) / interval.as_secs_f64() <= CALLS_PER_SECOND + 1e-6,
+            "{poolers}: {interval:?}"
+        );
+        assert!(poolers > 20 || interval == own.discovery_probe_interval, "{poolers}: {interval:?}");
+    }
+    let mut limits = Limits::for_sockets(64);
+    limits.share_discovery(Some(u32::MAX));
+    assert_eq!(limits.discovery_probe_interval, own.discovery_watch_timeout);
+}
+
 /// Guards against a shutdown that lasts as long as a client's timeout although the settings limit all deadlines.
 #[test]
 fn the_longest_deadline_of_the_classes_bounds_the_shutdown() {
